--- /dev/null
+++ b/client/print.go
@@ -0,0 +1,132 @@
+package client
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+)
+
+// Format of the output.
+type Format string
+
+// Output formats: text for people, JSON for programs.
+const (
+	Text Format = "text"
+	JSON Format = "json"
+)
+
+// Printer writes answers.
+type Printer struct {
+	Out    io.Writer
+	Format Format
+}
+
+func (p Printer) json(m proto.Message) {
+	fmt.Fprintln(p.Out, protojson.MarshalOptions{Multiline: true, EmitUnpopulated: true}.Format(m))
+}
+
+// Plan prints what a declaration would change.
+func (p Printer) Plan(r *pb.PlanResponse) {
+	if p.Format == JSON {
+		p.json(r)
+		return
+	}
+	p.lines("error: ", r.GetErrors())
+	p.lines("", r.GetLines())
+	p.basis(r.GetBasis())
+}
+
+// Apply prints the outcome of an applied declaration.
+func (p Printer) Apply(r *pb.ApplyResponse) {
+	if p.Format == JSON {
+		p.json(r)
+		return
+	}
+	p.lines("error: ", r.GetErrors())
+	p.outcome(r.GetOutcome(), r.GetReason(), r.GetChangeId())
+	if r.GetGeneration() > 0 {
+		fmt.Fprintf(p.Out, "generation %d\n", r.GetGeneration())
+	}
+	p.inForce(r.GetInForce(), r.GetNotConfirmed())
+	p.basis(r.GetBasis())
+}
+
+// Run prints the answer to one line of the language.
+func (p Printer) Run(r *pb.RunResponse) {
+	if p.Format == JSON {
+		p.json(r)
+		return
+	}
+	p.lines("error: ", r.GetErrors())
+	if r.GetOutcome() != pb.Outcome_OUTCOME_UNSPECIFIED {
+		p.outcome(r.GetOutcome(), r.GetReason(), r.GetChangeId())
+		p.inForce(r.GetInForce(), r.GetNotConfirmed())
+	}
+	p.table(r.GetTable())
+	p.basis(r.GetBasis())
+}
+
+func (p Printer) lines(prefix string, lines []string) {
+	for _, l := range lines {
+		fmt.Fprintln(p.Out, prefix+l)
+	}
+}
+
+// OutcomeName returns the outcome in lower case, for example "committed".
+func OutcomeName(o pb.Outcome) string {
+	return strings.ToLower(strings.TrimPrefix(o.String(), "OUTCOME_"))
+}
+
+func (p Printer) outcome(o pb.Outcome, reason, changeID string) {
+	text := OutcomeName(o) + " (change " + changeID + ")"
+	if reason != "" {
+		text += ": " + reason
+	}
+	fmt.Fprintln(p.Out, text)
+}
+
+func (p Printer) inForce(inForce, notConfirmed []string) {
+	if len(inForce) > 0 {
+		fmt.Fprintln(p.Out, "in force on:", strings.Join(inForce, ", "))
+	}
+	if len(notConfirmed) > 0 {
+		fmt.Fprintln(p.Out, "not confirmed by:", strings.Join(notConfirmed, ", "))
+	}
+}
+
+func (p Printer) table(t *pb.Table) {
+	if t == nil {
+		return
+	}
+	w := tabwriter.NewWriter(p.Out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, strings.ToUpper(strings.Join(t.GetColumns(), "\t")))
+	for _, r := range t.GetRows() {
+		fmt.Fprintln(w, strings.Join(r.GetCells(), "\t"))
+	}
+	// The writer is in memory or a terminal; a failed write has no one to tell.
+	_ = w.Flush()
+}
+
+func (p Printer) basis(b *pb.Basis) {
+	if b == nil {
+		return
+	}
+	age := (time.Duration(b.GetGenerationAgeMs()) * time.Millisecond).Round(100 * time.Millisecond)
+	platform := "reachable"
+	if !b.GetPlatformReachable() {
+		platform = "unreachable"
+	}
+	missing := "none"
+	if len(b.GetMissing()) > 0 {
+		missing = strings.Join(b.GetMissing(), ", ")
+	}
+	fmt.Fprintf(p.Out, "# generation %d, in force for %s; heard from %s; missing: %s; platform %s\n",
+		b.GetGeneration(), age, strings.Join(b.GetHeard(), ", "), missing, platform)
+}
--- /dev/null
+++ b/client/program.go
@@ -0,0 +1,257 @@
+package client
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/user"
+	"strings"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/config/declaration"
+)
+
+// Exit statuses of the client.
+const (
+	ExitOK       = 0 // answered, committed or unchanged
+	ExitRefused  = 1 // the change was refused or the query failed
+	ExitUsage    = 2 // bad flags, bad line or bad declaration
+	ExitUnknown  = 3 // the outcome of the change is unknown
+	ExitNoAnswer = 4 // no daemon answered; for a change the outcome is unknown
+)
+
+// globalFlags are the settings of the client.
+type globalFlags struct {
+	Addresses   []string      `long:"address" env:"FULMAR_OPERATOR" env-delim:"," default:"127.0.0.1:7004" description:"IP:port of a daemon's operator interface; may be repeated"`
+	TokenFile   string        `long:"token-file" env:"FULMAR_OPERATOR_TOKEN_FILE" description:"file with the operator token"`
+	CAFile      string        `long:"ca" env:"FULMAR_CA" description:"PEM file of the authority of the daemons' certificate; turns TLS on"`
+	Certificate string        `long:"certificate" env:"FULMAR_CERTIFICATE" description:"PEM file of the client certificate"`
+	Key         string        `long:"key" env:"FULMAR_KEY" description:"PEM file of the client certificate's key"`
+	Output      string        `long:"output" short:"o" default:"text" choice:"text" choice:"json" description:"format of answers"`
+	Timeout     time.Duration `long:"timeout" default:"20s" description:"longest wait for one daemon"`
+	Wait        time.Duration `long:"wait" default:"5s" description:"how long a change waits until it is in force; 0 does not wait"`
+	Author      string        `long:"author" env:"FULMAR_AUTHOR" description:"name in the history; default is the user"`
+	ChangeID    string        `long:"change-id" description:"id of the change; a repeat with the same id changes nothing; default is random"`
+	Expected    uint64        `long:"expected-generation" description:"refuse an apply when another generation is in force; 0 means any"`
+}
+
+const usage = `[OPTIONS] COMMAND
+
+Commands:
+  validate FILE     check a declaration without asking a daemon
+  plan FILE         show what a declaration would change
+  apply FILE        commit a declaration
+  history           show generations with their change ids and authors
+  query WORDS...    one query, for example: query show upstreams of bindery
+  command WORDS...  one command, for example: command drain upstream bindery-3
+  run FILE          run a file of queries and commands, one on a line
+  prompt            read queries and commands from the terminal`
+
+// Program is one call of the client.
+type Program struct {
+	flags   globalFlags
+	client  *Client
+	printer Printer
+	in      io.Reader
+	errOut  io.Writer
+}
+
+// Main runs the client and returns its exit status.
+func Main(args []string, in io.Reader, out, errOut io.Writer) int {
+	p := &Program{in: in, errOut: errOut}
+	parser := flags.NewNamedParser("fulmarctl", flags.HelpFlag|flags.PassDoubleDash|flags.PassAfterNonOption)
+	parser.Usage = usage
+	if _, err := parser.AddGroup("Options", "", &p.flags); err != nil {
+		fmt.Fprintln(errOut, err)
+		return ExitUsage
+	}
+	rest, err := parser.ParseArgs(args)
+	var flagsErr *flags.Error
+	if errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp {
+		fmt.Fprintln(out, flagsErr.Message)
+		return ExitOK
+	}
+	if err == nil && len(rest) == 0 {
+		err = errors.New("a command is needed; see --help")
+	}
+	if err == nil {
+		err = p.connect(out)
+	}
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return ExitUsage
+	}
+	return p.run(rest[0], rest[1:])
+}
+
+func (p *Program) connect(out io.Writer) error {
+	p.printer = Printer{Out: out, Format: Format(p.flags.Output)}
+	if p.flags.Author == "" {
+		if u, err := user.Current(); err == nil {
+			p.flags.Author = u.Username
+		}
+	}
+	token := ""
+	if p.flags.TokenFile != "" {
+		data, err := os.ReadFile(p.flags.TokenFile)
+		if err != nil {
+			return fmt.Errorf("--token-file: %w", err)
+		}
+		token = strings.TrimSpace(string(data))
+	}
+	c, err := New(Options{
+		Addresses: p.flags.Addresses, Token: token, CAFile: p.flags.CAFile, CertificateFile: p.flags.Certificate,
+		KeyFile: p.flags.Key, Timeout: p.flags.Timeout, Author: p.flags.Author,
+	})
+	p.client = c
+	return err
+}
+
+func (p *Program) run(command string, args []string) int {
+	ctx := context.Background()
+	switch command {
+	case "validate", "plan", "apply":
+		return p.withFile(ctx, command, args)
+	case "history":
+		return p.line(ctx, "show history")
+	case "query", "command":
+		if len(args) == 0 {
+			return p.usageError(command + " needs words, for example: query show services")
+		}
+		return p.line(ctx, strings.Join(args, " "))
+	case "run":
+		return p.script(ctx, args)
+	case "prompt":
+		return p.prompt(ctx)
+	default:
+		return p.usageError(fmt.Sprintf("unknown command %q; allowed: validate, plan, apply, history, query, command, run, prompt", command))
+	}
+}
+
+func (p *Program) usageError(text string) int {
+	fmt.Fprintln(p.errOut, text)
+	return ExitUsage
+}
+
+func (p *Program) withFile(ctx context.Context, command string, args []string) int {
+	if len(args) != 1 {
+		return p.usageError(command + " needs one declaration file")
+	}
+	data, err := os.ReadFile(args[0])
+	if err != nil {
+		return p.usageError(err.Error())
+	}
+	if _, errs := declaration.Parse(args[0], data); len(errs) > 0 {
+		for _, line := range errs.Lines() {
+			fmt.Fprintln(p.errOut, line)
+		}
+		return ExitUsage
+	}
+	switch command {
+	case "validate":
+		fmt.Fprintln(p.printer.Out, args[0]+": valid")
+		return ExitOK
+	case "plan":
+		r, err := p.client.Plan(ctx, args[0], data)
+		if err != nil {
+			return p.noAnswer(err, "")
+		}
+		p.printer.Plan(r)
+		return exitOfErrors(r.GetErrors())
+	default:
+		return p.apply(ctx, args[0], data)
+	}
+}
+
+func exitOfErrors(errs []string) int {
+	if len(errs) > 0 {
+		return ExitRefused
+	}
+	return ExitOK
+}
+
+func (p *Program) apply(ctx context.Context, file string, data []byte) int {
+	id := p.changeID()
+	r, err := p.client.Apply(ctx, &pb.ApplyRequest{
+		FileName: file, Declaration: data, ChangeId: id,
+		ExpectedGeneration: p.flags.Expected, WaitMs: uint32(p.flags.Wait.Milliseconds()),
+	})
+	if err != nil {
+		return p.noAnswer(err, id)
+	}
+	p.printer.Apply(r)
+	return exitOfOutcome(r.GetOutcome())
+}
+
+func (p *Program) changeID() string {
+	if p.flags.ChangeID != "" {
+		return p.flags.ChangeID
+	}
+	return NewChangeID()
+}
+
+// noAnswer says that the outcome of a change is unknown and how to ask for it.
+func (p *Program) noAnswer(err error, changeID string) int {
+	fmt.Fprintln(p.errOut, err)
+	if changeID != "" {
+		fmt.Fprintf(p.errOut, "outcome unknown; ask later with: query show change %s\n", changeID)
+	}
+	return ExitNoAnswer
+}
+
+func exitOfOutcome(o pb.Outcome) int {
+	switch o {
+	case pb.Outcome_OUTCOME_COMMITTED, pb.Outcome_OUTCOME_UNCHANGED:
+		return ExitOK
+	case pb.Outcome_OUTCOME_UNKNOWN:
+		return ExitUnknown
+	default:
+		return ExitRefused
+	}
+}
+
+func (p *Program) line(ctx context.Context, line string) int {
+	id := p.changeID()
+	r, err := p.client.Run(ctx, line, id, p.flags.Wait)
+	if err != nil {
+		return p.noAnswer(err, id)
+	}
+	p.printer.Run(r)
+	if r.GetOutcome() != pb.Outcome_OUTCOME_UNSPECIFIED {
+		return exitOfOutcome(r.GetOutcome())
+	}
+	return exitOfErrors(r.GetErrors())
+}
+
+// script runs a file of lines and stops at the first that does not succeed.
+func (p *Program) script(ctx context.Context, args []string) int {
+	if len(args) != 1 {
+		return p.usageError("run needs one file")
+	}
+	f, err := os.Open(args[0])
+	if err != nil {
+		return p.usageError(err.Error())
+	}
+	defer f.Close()
+	scanner := bufio.NewScanner(f)
+	for n := 1; scanner.Scan(); n++ {
+		line := strings.TrimSpace(scanner.Text())
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		if status := p.line(ctx, line); status != ExitOK {
+			fmt.Fprintf(p.errOut, "%s:%d: stopped at %q\n", args[0], n, line)
+			return status
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return p.usageError(err.Error())
+	}
+	return ExitOK
+}
--- /dev/null
+++ b/cmd/fulmarctl/main.go
@@ -0,0 +1,12 @@
+// Fulmarctl is the operators' client.
+package main
+
+import (
+	"os"
+
+	"github.com/fulmarfield/fulmarfield/client"
+)
+
+func main() {
+	os.Exit(client.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/command/grammar.go
@@ -0,0 +1,134 @@
+package command
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/alecthomas/participle/v2"
+	"github.com/alecthomas/participle/v2/lexer"
+)
+
+// Forms lists every form of a command, for help and error messages.
+var Forms = []string{
+	"add upstream NAME to SERVICE zone ZONE address IP:PORT slots N [weight N]",
+	"drain upstream NAME",
+	"undrain upstream NAME",
+	"remove upstream NAME",
+	"drain daemon NAME",
+	"undrain daemon NAME",
+	"add daemon NAME zone ZONE",
+	"remove daemon NAME",
+	"set aim of SERVICE connections|balance",
+	"set limit of SERVICE queue-length|retry-percent|idle-ms|drain-ms|load-bound-percent N",
+	"abort CHANGE-ID",
+}
+
+// Command is one parsed line; exactly one field is set.
+type Command struct {
+	AddUpstream *AddUpstream `parser:"@@"`
+	AddDaemon   *AddDaemon   `parser:"| @@"`
+	SetState    *SetState    `parser:"| @@"`
+	Remove      *Remove      `parser:"| @@"`
+	SetAim      *SetAim      `parser:"| @@"`
+	SetLimit    *SetLimit    `parser:"| @@"`
+	Abort       *Abort       `parser:"| @@"`
+}
+
+// AddUpstream declares a new upstream.
+type AddUpstream struct {
+	Name    string `parser:"'add' 'upstream' @Word"`
+	Service string `parser:"'to' @Word"`
+	Zone    string `parser:"'zone' @Word"`
+	Address string `parser:"'address' @Word"`
+	Slots   uint32 `parser:"'slots' @Word"`
+	Weight  uint32 `parser:"( 'weight' @Word )?"`
+}
+
+// AddDaemon declares a daemon.
+type AddDaemon struct {
+	Name string `parser:"'add' 'daemon' @Word"`
+	Zone string `parser:"'zone' @Word"`
+}
+
+// SetState drains or undrains an upstream or a daemon.
+type SetState struct {
+	Verb string `parser:"@( 'drain' | 'undrain' )"`
+	Kind string `parser:"@( 'upstream' | 'daemon' )"`
+	Name string `parser:"@Word"`
+}
+
+// Remove takes an upstream or a daemon out of the configuration.
+type Remove struct {
+	Kind string `parser:"'remove' @( 'upstream' | 'daemon' )"`
+	Name string `parser:"@Word"`
+}
+
+// SetAim changes what weighs more for a service.
+type SetAim struct {
+	Service string `parser:"'set' 'aim' 'of' @Word"`
+	Aim     string `parser:"@( 'connections' | 'balance' )"`
+}
+
+// SetLimit changes one limit of a service; 0 restores the balancer's default.
+type SetLimit struct {
+	Service string `parser:"'set' 'limit' 'of' @Word"`
+	Limit   string `parser:"@( 'queue-length' | 'retry-percent' | 'idle-ms' | 'drain-ms' | 'load-bound-percent' )"`
+	Value   uint32 `parser:"@Word"`
+}
+
+// Abort reverses the drain that a change id began.
+type Abort struct {
+	ChangeID string `parser:"'abort' @Word"`
+}
+
+var tokens = lexer.MustSimple([]lexer.SimpleRule{
+	{Name: "Word", Pattern: `[^\s]+`},
+	{Name: "Space", Pattern: `\s+`},
+})
+
+var parser = participle.MustBuild[Command](participle.Lexer(tokens), participle.Elide("Space"),
+	participle.UseLookahead(lookahead))
+
+// lookahead is enough to tell forms apart that begin with the same word.
+const lookahead = 3
+
+// ParseError says what was read, where, and what is allowed.
+type ParseError struct {
+	Line   string
+	Column int
+	Cause  string
+}
+
+// Error is one line for the operator.
+func (e *ParseError) Error() string {
+	return fmt.Sprintf("column %d of %q: %s; allowed: %s", e.Column, e.Line, e.Cause, strings.Join(allowed(e.Line), ", "))
+}
+
+// allowed lists the forms with the line's first word, or all.
+func allowed(line string) []string {
+	first, _, _ := strings.Cut(strings.TrimSpace(line), " ")
+	var forms []string
+	for _, f := range Forms {
+		if first != "" && strings.HasPrefix(f, first+" ") {
+			forms = append(forms, f)
+		}
+	}
+	if len(forms) == 0 {
+		return Forms
+	}
+	return forms
+}
+
+// Parse reads one line. It returns a *ParseError for one that is not a command.
+func Parse(line string) (*Command, error) {
+	c, err := parser.ParseString("", line)
+	if err == nil {
+		return c, nil
+	}
+	var at participle.Error
+	if errors.As(err, &at) {
+		return nil, &ParseError{Line: line, Column: at.Position().Column, Cause: at.Message()}
+	}
+	return nil, &ParseError{Line: line, Column: 1, Cause: err.Error()}
+}
--- /dev/null
+++ b/daemon/access.go
@@ -0,0 +1,69 @@
+package daemon
+
+import (
+	"crypto/subtle"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+
+	"github.com/rs/zerolog"
+
+	"github.com/fulmarfield/fulmarfield/telemetry"
+)
+
+// operatorAccess refuses operators' calls without the right token, and counts them.
+type operatorAccess struct {
+	token    string
+	counters *telemetry.Counters
+	logger   zerolog.Logger
+}
+
+// wrap returns a handler that lets a call pass when no token is set or the call carries it.
+func (a operatorAccess) wrap(next http.Handler) http.Handler {
+	if a.token == "" {
+		return next
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		given, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if subtle.ConstantTimeCompare([]byte(given), []byte(a.token)) != 1 {
+			a.counters.Count("refusal.operator_token")
+			a.logger.Warn().Str("event", eventOperatorRefused).Str("remote", r.RemoteAddr).Msg("")
+			http.Error(w, "operator token is missing or wrong", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// tlsConfig returns nil when the settings name no certificate.
+func (s *Settings) tlsConfig() (*tls.Config, error) {
+	if s.TLSCertificate == "" {
+		return nil, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(s.TLSCertificate, s.TLSKey)
+	if err != nil {
+		return nil, &SettingError{"tls-certificate", s.TLSCertificate, "a PEM certificate with its key: " + err.Error()}
+	}
+	c := &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}
+	if s.TLSClientCA == "" {
+		return c, nil
+	}
+	pem, err := os.ReadFile(s.TLSClientCA)
+	if err != nil {
+		return nil, &SettingError{"tls-client-ca", s.TLSClientCA, "a readable file: " + err.Error()}
+	}
+	c.ClientCAs = x509.NewCertPool()
+	if !c.ClientCAs.AppendCertsFromPEM(pem) {
+		return nil, &SettingError{"tls-client-ca", s.TLSClientCA, "a PEM file with certificates"}
+	}
+	c.ClientAuth = tls.RequireAndVerifyClientCert
+	return c, nil
+}
+
+// listenError says which setting names an address that cannot be bound.
+func listenError(flag, address string, err error) error {
+	return fmt.Errorf("--%s: cannot listen on %s: %w", flag, address, err)
+}
--- /dev/null
+++ b/daemon/admin.go
@@ -0,0 +1,35 @@
+package daemon
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// adminHandler serves health checks and metrics; it needs neither the store nor peers.
+func (n *Node) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintln(w, "ok")
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !n.IsReady() {
+			http.Error(w, n.notReadyReason(), http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintln(w, "ready")
+	})
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		metrics.WriteJSONOnce(n.counters.Registry(), w)
+	})
+	return mux
+}
+
+func (n *Node) notReadyReason() string {
+	if n.leaving.Load() {
+		return "leaving"
+	}
+	return "no configuration: neither the platform nor a peer has given one"
+}
--- /dev/null
+++ b/daemon/app.go
@@ -0,0 +1,271 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/api/fulmarfield/v1/fulmarfieldv1connect"
+	"github.com/fulmarfield/fulmarfield/membership"
+	"github.com/fulmarfield/fulmarfield/peer"
+	"github.com/fulmarfield/fulmarfield/platform"
+	"github.com/fulmarfield/fulmarfield/telemetry"
+	"github.com/fulmarfield/fulmarfield/wire"
+)
+
+// Exit statuses of the program.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+	exitForced   = 3
+)
+
+// readHeaderTimeout bounds how long a connection may take to send its request header.
+const readHeaderTimeout = 5 * time.Second
+
+// Main runs the daemon with the given arguments and returns the exit status: 0 after a
+// graceful shutdown, 1 after a failure, 2 for a bad setting, 3 when a second signal ended it.
+func Main(args []string) int {
+	settings, err := ParseSettings(args)
+	if errors.Is(err, ErrHelp) {
+		return exitOK
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	failed := make(chan error, 1)
+	app := fx.New(Module(settings, failed), fx.NopLogger)
+	if err := app.Start(context.Background()); err != nil {
+		fmt.Fprintln(os.Stderr, rootError(err))
+		return startExit(err)
+	}
+	return serve(app, settings, failed)
+}
+
+func startExit(err error) int {
+	var setting *SettingError
+	if errors.As(err, &setting) || errors.Is(err, syscall.EADDRINUSE) || errors.Is(err, syscall.EADDRNOTAVAIL) {
+		return exitSettings
+	}
+	return exitFailed
+}
+
+func rootError(err error) error {
+	var setting *SettingError
+	if errors.As(err, &setting) {
+		return setting
+	}
+	return err
+}
+
+// serve waits for a signal or a failure and shuts down gracefully; a second signal ends at
+// once.
+func serve(app *fx.App, settings *Settings, failed <-chan error) int {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	logger := settings.Logger()
+	select {
+	case err := <-failed:
+		logger.Error().Str("event", eventStopped).Err(err).Msg("")
+		return exitFailed
+	case s := <-signals:
+		logger.Info().Str("event", eventStopping).Str("signal", s.String()).Msg("")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(settings.ShutdownSeconds)*time.Second)
+	defer cancel()
+	stopped := make(chan error, 1)
+	go func() { stopped <- app.Stop(ctx) }()
+	select {
+	case <-signals:
+		logger.Warn().Str("event", eventStopForced).Msg("")
+		return exitForced
+	case err := <-stopped:
+		if err != nil {
+			logger.Warn().Str("event", eventShutdownTimeout).Err(err).Msg("")
+			return exitFailed
+		}
+		logger.Info().Str("event", eventStopped).Msg("")
+		return exitOK
+	}
+}
+
+// Module wires a daemon for fx. A failure while serving is sent to failed.
+func Module(settings *Settings, failed chan<- error) fx.Option {
+	return fx.Options(
+		fx.Supply(settings),
+		fx.Provide(
+			func(s *Settings) zerolog.Logger { return s.Logger() },
+			telemetry.NewCounters, newPlatform, newNode, newListeners,
+		),
+		fx.Invoke(func(lc fx.Lifecycle, n *Node, l *listeners, logger zerolog.Logger) {
+			runNode(lc, n, l, logger, failed)
+		}),
+	)
+}
+
+func newPlatform(s *Settings, counters *telemetry.Counters) *platform.Client {
+	return platform.NewClient(platform.ClientOptions{
+		Address: netip.MustParseAddrPort(s.Platform), LocalAddress: localIP(s.ControlAddress), Counters: counters,
+	})
+}
+
+func localIP(address string) netip.Addr { return netip.MustParseAddrPort(address).Addr() }
+
+func newNode(s *Settings, p *platform.Client, counters *telemetry.Counters, logger zerolog.Logger) (*Node, error) {
+	key, err := s.ClusterKey()
+	if err != nil {
+		return nil, err
+	}
+	dataConn, err := wire.ListenUDP(netip.MustParseAddrPort(s.DataAddress))
+	if err != nil {
+		return nil, listenError("data-address", s.DataAddress, err)
+	}
+	peerConn, err := wire.ListenUDP(netip.MustParseAddrPort(s.PeerAddress))
+	if err != nil {
+		return nil, listenError("peer-address", s.PeerAddress, err)
+	}
+	httpClient := newPeerHTTPClient(localIP(s.ControlAddress))
+	now := uint64(time.Now().UnixNano())
+	seeds := seedLister{self: membership.DaemonID(s.Name), vms: p}
+	for _, address := range s.Peers {
+		seeds.peers = append(seeds.peers, netip.MustParseAddrPort(address))
+	}
+	return NewNode(Options{
+		Self: s.Self(now), Key: key, DataConn: dataConn, PeerConn: peerConn, Store: p,
+		Seeds: seeds.list,
+		Clients: func(v membership.Viewer) Clients {
+			return peer.NewClients(v, httpClient, key, counters)
+		},
+		Counters: counters, Logger: logger, Seed: now,
+	}), nil
+}
+
+// newPeerHTTPClient dials from the daemon's own address, by which the fabric knows its zone.
+func newPeerHTTPClient(local netip.Addr) *http.Client {
+	dialer := &net.Dialer{
+		LocalAddr: &net.TCPAddr{IP: local.AsSlice()},
+		Timeout:   time.Second,
+	}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second,
+	}}
+}
+
+// listeners are the TCP listeners of a daemon with their handlers.
+type listeners struct {
+	servers []*http.Server
+	sockets []net.Listener
+}
+
+func newListeners(s *Settings, n *Node, counters *telemetry.Counters, logger zerolog.Logger) (*listeners, error) {
+	key, err := s.ClusterKey()
+	if err != nil {
+		return nil, err
+	}
+	token, err := s.OperatorToken()
+	if err != nil {
+		return nil, err
+	}
+	tlsConfig, err := s.tlsConfig()
+	if err != nil {
+		return nil, err
+	}
+	peerMux, operatorMux := http.NewServeMux(), http.NewServeMux()
+	peerMux.Handle(fulmarfieldv1connect.NewPeerServiceHandler(n.PeerService(),
+		connect.WithInterceptors(peer.NewServerInterceptor(key, counters))))
+	operatorMux.Handle(fulmarfieldv1connect.NewOperatorServiceHandler(operatorService{n}))
+	access := operatorAccess{token: token, counters: counters, logger: logger}
+	l := &listeners{}
+	if err := l.listen("control-address", s.ControlAddress, peerMux, nil); err != nil {
+		return nil, err
+	}
+	if err := l.listen("admin-address", s.AdminAddress, n.adminHandler(), nil); err != nil {
+		return nil, err
+	}
+	operators := &http.Server{Handler: access.wrap(operatorMux), TLSConfig: tlsConfig}
+	return l, l.listen("operator-address", s.OperatorAddress, nil, operators)
+}
+
+func (l *listeners) listen(flag, address string, handler http.Handler, server *http.Server) error {
+	socket, err := net.Listen("tcp4", address)
+	if err != nil {
+		return listenError(flag, address, err)
+	}
+	if server == nil {
+		server = &http.Server{Handler: handler}
+	}
+	server.ReadHeaderTimeout = readHeaderTimeout
+	l.servers = append(l.servers, server)
+	l.sockets = append(l.sockets, socket)
+	return nil
+}
+
+func (l *listeners) serve(failed chan<- error) {
+	for i, server := range l.servers {
+		go func() {
+			err := error(nil)
+			if server.TLSConfig != nil {
+				err = server.ServeTLS(l.sockets[i], "", "")
+			} else {
+				err = server.Serve(l.sockets[i])
+			}
+			if !errors.Is(err, http.ErrServerClosed) {
+				failed <- fmt.Errorf("serve %s: %w", l.sockets[i].Addr(), err)
+			}
+		}()
+	}
+}
+
+func (l *listeners) close() error {
+	errs := make([]error, 0, len(l.servers))
+	for _, server := range l.servers {
+		errs = append(errs, server.Close())
+	}
+	return errors.Join(errs...)
+}
+
+func runNode(lc fx.Lifecycle, n *Node, l *listeners, logger zerolog.Logger, failed chan<- error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			l.serve(failed)
+			go func() {
+				defer close(done)
+				if err := n.Run(ctx); err != nil {
+					failed <- err
+				}
+			}()
+			logger.Info().Str("event", eventStarted).Str("zone", n.self.Zone).Msg("")
+			return nil
+		},
+		OnStop: func(stopCtx context.Context) error {
+			leaveErr := n.Leave(stopCtx)
+			cancel()
+			<-done
+			return errors.Join(leaveErr, l.close())
+		},
+	})
+}
+
+// peerServiceHandler is the interface that both a connect handler and an in-memory client
+// of PeerService have.
+type peerServiceHandler = fulmarfieldv1connect.PeerServiceHandler
+
+var _ fulmarfieldv1connect.PeerServiceClient = peerService{}
+
+var _ = pb.Member{}
--- /dev/null
+++ b/daemon/node.go
@@ -0,0 +1,287 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/config"
+	"github.com/fulmarfield/fulmarfield/config/relay"
+	"github.com/fulmarfield/fulmarfield/membership"
+	"github.com/fulmarfield/fulmarfield/ownership"
+	"github.com/fulmarfield/fulmarfield/peer"
+	"github.com/fulmarfield/fulmarfield/platform"
+	"github.com/fulmarfield/fulmarfield/request"
+	"github.com/fulmarfield/fulmarfield/steering"
+	"github.com/fulmarfield/fulmarfield/telemetry"
+	"github.com/fulmarfield/fulmarfield/wire"
+)
+
+// Options are what a Node needs from outside. Programs take them from settings; tests inject
+// in-memory parts.
+type Options struct {
+	Self     membership.Member
+	Key      []byte
+	DataConn wire.Conn
+	PeerConn wire.Conn
+	Store    platform.Store
+	// Seeds lists daemons to join: the VM list and the peers of the settings.
+	Seeds func(ctx context.Context) ([]membership.Member, error)
+	// Clients makes the connect clients from the view.
+	Clients  func(membership.Viewer) Clients
+	Counters *telemetry.Counters
+	Logger   zerolog.Logger
+	// Seed of the random choices that need not be secret, such as probe order and jitter.
+	Seed uint64
+}
+
+// Clients are connect clients by daemon and by address.
+type Clients interface {
+	peer.Clients
+	addressClients
+}
+
+// Node is a balancer daemon without its HTTP listeners.
+type Node struct {
+	self       membership.Member
+	membership *membership.Membership
+	messenger  *peer.Messenger
+	clients    Clients
+	ownership  *ownership.Manager
+	relay      *relay.Relay
+	steerer    *steering.Steerer
+	admissions *request.Engine
+	dispatcher *dispatcher
+	store      platform.Store
+	peerConn   wire.Conn
+	counters   *telemetry.Counters
+	logger     zerolog.Logger
+	leaving    atomic.Bool
+}
+
+// lateBinding breaks the construction cycle between membership, messenger and relay: each of
+// them needs one method of a part that is built after it.
+type lateBinding struct{ n *Node }
+
+func (b lateBinding) View() *membership.View { return b.n.membership.View() }
+
+func (b lateBinding) Send(to membership.DaemonID, m *pb.PeerDatagram) error {
+	return b.n.messenger.Send(to, m)
+}
+
+func (b lateBinding) SendTo(addr netip.AddrPort, to membership.DaemonID, m *pb.PeerDatagram) error {
+	return b.n.messenger.SendTo(addr, to, m)
+}
+
+func (b lateBinding) Current() *config.Snapshot { return b.n.relay.Current() }
+
+func (b lateBinding) Subscribe(f func(previous, current *config.Snapshot)) { b.n.relay.Subscribe(f) }
+
+// NewNode builds a daemon; Run starts it.
+func NewNode(o Options) *Node {
+	n := &Node{self: o.Self, store: o.Store, peerConn: o.PeerConn, counters: o.Counters, logger: o.Logger}
+	late := lateBinding{n}
+	n.clients = o.Clients(late)
+	n.relay = relay.New(relay.Options{
+		Self: o.Self.ID, Zone: o.Self.Zone, Store: o.Store, Viewer: late, Clients: n.clients,
+		Counters: o.Counters, Logger: o.Logger,
+	})
+	n.membership = membership.New(membership.Options{
+		Self: o.Self, Sender: late, Seeds: o.Seeds, FetchView: fetchView(n.clients), Counters: o.Counters, Logger: o.Logger,
+		Generation:   func() uint64 { return n.relay.Current().Generation() },
+		OnGeneration: func(from membership.DaemonID, g uint64) { n.relay.OnPeerGeneration(from, g) },
+		OnPause:      func() { n.ownership.OnPause() },
+		Rand:         rand.New(rand.NewPCG(o.Seed, 1)),
+	})
+	n.messenger = peer.NewMessenger(peer.MessengerOptions{
+		Self: o.Self.ID, Incarnation: n.membership.SelfIncarnation, Key: o.Key, Conn: o.PeerConn,
+		Viewer: late, Counters: o.Counters, Logger: o.Logger,
+	})
+	n.dispatcher = &dispatcher{conn: o.DataConn, config: n.relay, forwarder: n.messenger, counters: o.Counters}
+	n.buildRoles(o)
+	n.messenger.Handle(n.handlePeer)
+	n.membership.Subscribe(func(previous, current *membership.View) { n.ownership.OnViewChange(previous, current) })
+	n.relay.Subscribe(func(_, _ *config.Snapshot) { n.ownership.OnConfigurationChange() })
+	return n
+}
+
+// buildRoles builds the two roles that hold resources and the table of who holds which.
+func (n *Node) buildRoles(o Options) {
+	routes := &lateRouter{n}
+	n.dispatcher.router = routes
+	n.steerer = steering.New(steering.Options{
+		Config: n.relay, Router: routes, Sender: n.messenger, Output: steeringOutput{n.dispatcher},
+		Counters: o.Counters, Logger: o.Logger,
+	})
+	n.admissions = request.New(request.Options{
+		Self: o.Self.ID, Config: n.relay, Router: routes,
+		Output:   requestOutput{d: n.dispatcher, notify: n.notifyOwners},
+		Counters: o.Counters, Logger: o.Logger, Rand: rand.New(rand.NewPCG(o.Seed, 2)),
+	})
+	n.dispatcher.steerer, n.dispatcher.admitter = n.steerer, n.admissions
+	n.ownership = ownership.New(ownership.Options{
+		Self: o.Self.ID, Viewer: n.membership, Clients: n.clients,
+		Keepers: map[pb.ResourceKind]ownership.Keeper{
+			pb.ResourceKind_RESOURCE_KIND_FLOW_PARTITION: n.steerer,
+			pb.ResourceKind_RESOURCE_KIND_ADMISSION:      n.admissions,
+		},
+		Resources: n.resources, Zone: n.zoneOf,
+		Counters: o.Counters, Logger: o.Logger,
+	})
+}
+
+// lateRouter passes routing questions to ownership, which is built after the roles.
+type lateRouter struct{ n *Node }
+
+func (r *lateRouter) Route(res ownership.Resource) (to membership.DaemonID, active, ok bool) {
+	return r.n.ownership.Route(res)
+}
+
+func (r *lateRouter) Successor(res ownership.Resource) (membership.DaemonID, bool) {
+	return r.n.ownership.Successor(res)
+}
+
+func (r *lateRouter) PreviousHolders(res ownership.Resource) []membership.DaemonID {
+	return r.n.ownership.PreviousHolders(res)
+}
+
+// resources lists all resources of the configuration in force.
+func (n *Node) resources() []ownership.Resource {
+	var all []ownership.Resource
+	for _, service := range n.relay.Current().Services() {
+		for i := range uint32(ownership.PartitionCount) {
+			all = append(all, ownership.Resource{
+				Kind: pb.ResourceKind_RESOURCE_KIND_FLOW_PARTITION, Service: service.GetNumber(), Index: i,
+			})
+		}
+		for _, u := range service.GetUpstreams() {
+			all = append(all, ownership.Admission(service.GetNumber(), u.GetNumber()))
+		}
+	}
+	return all
+}
+
+// zoneOf returns the zone whose daemons are preferred for a resource: an upstream's own zone,
+// so that a cut between zones leaves the admission on the side that reaches the upstream.
+func (n *Node) zoneOf(r ownership.Resource) string {
+	if r.Kind != pb.ResourceKind_RESOURCE_KIND_ADMISSION {
+		return ""
+	}
+	u, _, _, ok := n.relay.Current().Upstream(r.Index)
+	if !ok {
+		return ""
+	}
+	return u.GetZone()
+}
+
+func (n *Node) handlePeer(from membership.DaemonID, m *pb.PeerDatagram) {
+	switch body := m.GetBody().(type) {
+	case *pb.PeerDatagram_Forward:
+		n.dispatcher.forwarded(body.Forward)
+	case *pb.PeerDatagram_UpstreamNotice:
+		n.steerer.HandlePeer(from, m)
+		n.admissions.HandleNotice(body.UpstreamNotice)
+	default:
+		if !n.membership.HandleDatagram(from, m) && !n.steerer.HandlePeer(from, m) {
+			n.counters.Drop("unknown_message")
+		}
+	}
+}
+
+// notifyOwners sends a change of an upstream's state to all daemons, this one included.
+func (n *Node) notifyOwners(notice *pb.UpstreamNotice) {
+	for _, m := range n.membership.View().Members {
+		datagram := &pb.PeerDatagram{Body: &pb.PeerDatagram_UpstreamNotice{UpstreamNotice: notice}}
+		if m.ID == n.self.ID {
+			n.steerer.HandlePeer(n.self.ID, datagram)
+			continue
+		}
+		if !m.IsReachable() {
+			continue
+		}
+		if err := n.messenger.Send(m.ID, datagram); err != nil {
+			n.counters.Drop("notice_failed")
+		}
+	}
+}
+
+// Counters returns the daemon's counters.
+func (n *Node) Counters() *telemetry.Counters { return n.counters }
+
+// PeerService returns the handler of other daemons' calls; it serves as a client as well.
+func (n *Node) PeerService() peerServiceHandler { return peerService{n} }
+
+// IsReady reports whether the daemon has a configuration and serves.
+func (n *Node) IsReady() bool { return n.relay.Current().Generation() > 0 && !n.leaving.Load() }
+
+// Run serves until ctx is cancelled. Use Leave first for a graceful shutdown.
+func (n *Node) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	tasks := map[string]func(context.Context) error{
+		"messenger": n.messenger.Run, "membership": n.membership.Run, "ownership": n.ownership.Run,
+		"relay": n.relay.Run, "steering": n.steerer.Run, "request": n.admissions.Run, "ingress": n.readPackets,
+	}
+	for name, run := range tasks {
+		group.Go(func() error {
+			if err := run(ctx); err != nil && !errors.Is(err, context.Canceled) {
+				return fmt.Errorf("%s: %w", name, err)
+			}
+			return nil
+		})
+	}
+	group.Go(func() error {
+		<-ctx.Done()
+		return errors.Join(n.dispatcher.conn.Close(), n.peerConn.Close())
+	})
+	return group.Wait()
+}
+
+// readBatch is the number of datagrams of one read of the data socket.
+const readBatch = 64
+
+func (n *Node) readPackets(ctx context.Context) error {
+	batch := make([]wire.Datagram, readBatch)
+	for {
+		count, err := n.dispatcher.conn.ReadBatch(batch)
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, wire.ErrClosed) {
+				return nil
+			}
+			return fmt.Errorf("read packets: %w", err)
+		}
+		for i := range count {
+			n.dispatcher.ingress(batch[i].Data)
+		}
+	}
+}
+
+// drainPoll is how often a leaving daemon looks whether requests are still in progress.
+const drainPoll = 50 * time.Millisecond
+
+// Leave announces the leave, hands over all resources and waits until no request is in
+// progress here. It returns the context's error when ctx ends first.
+func (n *Node) Leave(ctx context.Context) error {
+	n.leaving.Store(true)
+	n.membership.Leave()
+	if err := n.ownership.Leave(ctx); err != nil {
+		return fmt.Errorf("hand over: %w", err)
+	}
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for n.admissions.InProgress() > 0 {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("finish %d requests: %w", n.admissions.InProgress(), ctx.Err())
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/peerservice.go
@@ -0,0 +1,75 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+)
+
+// peerService answers the calls of other daemons. It implements both the handler and the
+// client interface of PeerService, so that tests can use it without HTTP.
+type peerService struct{ n *Node }
+
+func (s peerService) GetConfiguration(_ context.Context, r *connect.Request[pb.GetConfigurationRequest]) (*connect.Response[pb.GetConfigurationResponse], error) {
+	return connect.NewResponse(s.n.relay.HandleGet(r.Msg)), nil
+}
+
+func (s peerService) PushConfiguration(_ context.Context, r *connect.Request[pb.PushConfigurationRequest]) (*connect.Response[pb.PushConfigurationResponse], error) {
+	return connect.NewResponse(s.n.relay.HandlePush(r.Msg)), nil
+}
+
+func (s peerService) Claim(_ context.Context, r *connect.Request[pb.ClaimRequest]) (*connect.Response[pb.ClaimResponse], error) {
+	return connect.NewResponse(s.n.ownership.HandleClaim(r.Msg)), nil
+}
+
+func (s peerService) Offer(_ context.Context, r *connect.Request[pb.OfferRequest]) (*connect.Response[pb.OfferResponse], error) {
+	return connect.NewResponse(s.n.ownership.HandleOffer(r.Msg)), nil
+}
+
+func (s peerService) GetView(_ context.Context, r *connect.Request[pb.GetViewRequest]) (*connect.Response[pb.GetViewResponse], error) {
+	return connect.NewResponse(s.n.membership.HandleGetView(r.Msg)), nil
+}
+
+func (s peerService) Status(_ context.Context, r *connect.Request[pb.StatusRequest]) (*connect.Response[pb.StatusResponse], error) {
+	return connect.NewResponse(s.n.Status(r.Msg.GetCaller())), nil
+}
+
+// maxStatusFlows bounds the flows in one status, so that it stays a small message.
+const maxStatusFlows = 200
+
+// Status returns what this daemon knows of itself. Flows are included for the given caller
+// (IP or IP:port) only.
+func (n *Node) Status(caller string) *pb.StatusResponse {
+	snapshot := n.relay.Current()
+	stats := n.steerer.Stats()
+	status := &pb.StatusResponse{
+		Daemon:            string(n.self.ID),
+		Zone:              n.self.Zone,
+		Generation:        snapshot.Generation(),
+		GenerationAgeMs:   n.relay.Age().Milliseconds(),
+		Incarnation:       n.membership.SelfIncarnation(),
+		Counters:          n.counters.Snapshot(),
+		FlowCount:         uint64(stats.Flows),
+		ResourcesHeld:     uint32(n.ownership.HeldCount()),
+		Leaving:           n.leaving.Load(),
+		PlatformReachable: n.relay.PlatformReachable(),
+	}
+	if caller != "" {
+		status.Flows = n.steerer.Flows(caller, maxStatusFlows)
+	}
+	for _, service := range snapshot.Services() {
+		for _, u := range service.GetUpstreams() {
+			entry := n.admissions.Status(u.GetNumber())
+			entry.Upstream, entry.Service = u.GetNumber(), service.GetNumber()
+			entry.Flows = uint32(stats.ByUpstream[u.GetNumber()])
+			status.Upstreams = append(status.Upstreams, entry)
+		}
+	}
+	return status
+}
+
+// statusTimeout is how long an operator's answer waits for one daemon.
+const statusTimeout = time.Second
