Add platform client, declarations, commits, relay and the platform stand-in

The other packages need a store, a configuration and its distribution to integrate against.

platform has the Store and VMLister interfaces and an HTTP/1.1 client with conditional requests. standin/platform shares one core between an HTTP handler and an in-memory store. config/declaration reads the YAML format and builds the next configuration, config/commit commits it by a conditional update of the head, and config/relay distributes it.

--- /dev/null
+++ b/config/commit/commit_test.go
@@ -0,0 +1,92 @@
+package commit_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/config/commit"
+	"github.com/fulmarfield/fulmarfield/config/declaration"
+	standin "github.com/fulmarfield/fulmarfield/standin/platform"
+)
+
+const text = `
+deployment: hopkrans-hoeve
+zones: [schuur, winkel]
+daemons:
+  - {name: schuur-1, zone: schuur}
+services:
+  - {name: bindery, address: "127.2.1.1:8001", aim: connections}
+  - {name: galerij, address: "127.2.2.1:8002", aim: balance}
+upstreams:
+  - {name: bindery-1, service: bindery, zone: schuur, address: "127.1.1.51:9000", slots: 2}
+  - {name: bindery-2, service: bindery, zone: winkel, address: "127.1.2.51:9000", slots: 2}
+  - {name: galerij-1, service: galerij, zone: winkel, address: "127.1.2.52:9000", slots: 2}
+`
+
+func change(id string) declaration.Change {
+	return declaration.Change{ID: id, Author: "operator " + id, At: time.Now()}
+}
+
+func declare(id string) commit.Edit {
+	return func(previous *pb.Configuration) (*pb.Configuration, error) {
+		d, faults := declaration.Parse("test.yaml", []byte(text))
+		if len(faults) > 0 {
+			return nil, faults
+		}
+		next, _ := declaration.Build(previous, d, id, "operator", time.Now())
+		return next, nil
+	}
+}
+
+func drain(id, service, upstream string) commit.Edit {
+	return func(previous *pb.Configuration) (*pb.Configuration, error) {
+		return declaration.SetUpstreamState(previous, service, upstream, pb.DeclaredState_DECLARED_STATE_DRAINING, change(id))
+	}
+}
+
+// run gives a test in virtual time a store with the declaration committed.
+func run(t *testing.T, test func(ctx context.Context, g Gomega, p *standin.Platform, store *standin.Store)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := standin.New(standin.Options{})
+		store := p.Store(netip.MustParseAddr("127.0.1.1"))
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		g.Expect(commit.Commit(ctx, store, "first", 0, declare("first")).Outcome).To(Equal(pb.Outcome_OUTCOME_COMMITTED))
+		test(ctx, g, p, store)
+	})
+}
+
+// Guards against a commit that cannot be read back as it was written.
+func TestCommitAndLoad(t *testing.T) {
+	run(t, func(ctx context.Context, g Gomega, _ *standin.Platform, store *standin.Store) {
+		c, err := commit.Load(ctx, store)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(c.GetGeneration()).To(BeEquivalentTo(1))
+		g.Expect(c.GetServices()).To(HaveLen(2))
+		g.Expect(commit.Commit(ctx, store, "first", 0, declare("first")).Outcome).To(Equal(pb.Outcome_OUTCOME_UNCHANGED))
+		g.Expect(commit.Commit(ctx, store, "again", 0, declare("again")).Outcome).To(Equal(pb.Outcome_OUTCOME_UNCHANGED))
+	})
+}
+
+// Guards against a false "unknown" or a second application when the answers to writes of
+// content and head are lost after they took effect.
+func TestLostAnswerIsReadBack(t *testing.T) {
+	run(t, func(ctx context.Context, g Gomega, p *standin.Platform, store *standin.Store) {
+		p.LoseAnswers(2)
+		result := commit.Commit(ctx, store, "drain", 0, drain("drain", "bindery", "bindery-1"))
+		g.Expect(result.Err).NotTo(HaveOccurred())
+		g.Expect(result.Outcome).To(Equal(pb.Outcome_OUTCOME_COMMITTED))
+		g.Expect(result.Generation).To(BeEquivalentTo(2))
+		history, err := commit.History(ctx, store)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(history).To(HaveLen(2))
+	})
+}
--- /dev/null
+++ b/config/commit/contents.go
@@ -0,0 +1,127 @@
+package commit
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/platform"
+)
+
+// maxContentTries bounds the search for a free content generation. Each failed commit may
+// leave one object behind until the janitor removes it.
+const maxContentTries = 64
+
+var errNoFreeContent = errors.New("no free content generation")
+
+// writeContents writes the content objects of changed services and returns the content
+// generation of every service.
+func (c *Committer) writeContents(ctx context.Context, h head, previous, next *pb.Configuration) (map[uint32]uint64, error) {
+	contents := h.contents()
+	before := servicesByNumber(previous)
+	for _, service := range next.GetServices() {
+		old, ok := before[service.GetNumber()]
+		if ok && proto.Equal(old, service) {
+			continue
+		}
+		generation, err := c.writeContent(ctx, service, contents[service.GetNumber()]+1)
+		if err != nil {
+			return nil, err
+		}
+		contents[service.GetNumber()] = generation
+	}
+	return contents, nil
+}
+
+// writeContent writes a content object at the first generation from the given one that is
+// free, and returns that generation. Objects of other operators or of earlier tries are never
+// overwritten; one with the same bytes serves as well.
+func (c *Committer) writeContent(ctx context.Context, service *pb.Service, generation uint64) (uint64, error) {
+	value, err := encode(service)
+	if err != nil {
+		return 0, err
+	}
+	for range maxContentTries {
+		key := contentKey(service.GetNumber(), generation)
+		_, err := c.store.Put(ctx, key, value, platform.IfAbsent())
+		if err == nil {
+			return generation, nil
+		}
+		if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrOutcomeUnknown) {
+			return 0, err
+		}
+		o, readErr := c.store.Get(ctx, key)
+		switch {
+		case readErr == nil && bytes.Equal(o.Value, value):
+			return generation, nil
+		case readErr == nil:
+			generation++
+		case errors.Is(readErr, platform.ErrNotFound):
+			// A lost write that is not applied, or an object removed since: the same again.
+			c.counters.Count(retryContent)
+		default:
+			return 0, readErr
+		}
+	}
+	return 0, fmt.Errorf("service %d: %w: %w", service.GetNumber(), platform.ErrUnavailable, errNoFreeContent)
+}
+
+// overlapping reports whether the changes between base and previous touch what the change
+// from previous to next touches.
+func overlapping(base, previous, next *pb.Configuration) bool {
+	if base.GetGeneration() == previous.GetGeneration() {
+		return false
+	}
+	theirs, ours := touched(base, previous), touched(previous, next)
+	for name := range ours {
+		if theirs[name] {
+			return true
+		}
+	}
+	return false
+}
+
+// touched names the parts that differ: services by number, zones and daemons.
+func touched(from, to *pb.Configuration) map[string]bool {
+	parts := map[string]bool{}
+	if !slices.Equal(from.GetZones(), to.GetZones()) || from.GetDeployment() != to.GetDeployment() {
+		parts["zones"] = true
+	}
+	states := map[string]pb.DeclaredState{}
+	for _, d := range from.GetDaemons() {
+		states[d.GetName()] = d.GetState()
+	}
+	for _, d := range to.GetDaemons() {
+		if state, ok := states[d.GetName()]; !ok || state != d.GetState() {
+			parts["daemon "+d.GetName()] = true
+		}
+		delete(states, d.GetName())
+	}
+	for name := range states {
+		parts["daemon "+name] = true
+	}
+	before := servicesByNumber(from)
+	for _, s := range to.GetServices() {
+		if old, ok := before[s.GetNumber()]; !ok || !proto.Equal(old, s) {
+			parts["service "+s.GetName()] = true
+		}
+		delete(before, s.GetNumber())
+	}
+	for _, s := range before {
+		parts["service "+s.GetName()] = true
+	}
+	return parts
+}
+
+func servicesByNumber(c *pb.Configuration) map[uint32]*pb.Service {
+	services := make(map[uint32]*pb.Service, len(c.GetServices()))
+	for _, s := range c.GetServices() {
+		services[s.GetNumber()] = s
+	}
+	return services
+}
--- /dev/null
+++ b/config/declaration/differences.go
@@ -0,0 +1,105 @@
+package declaration
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+)
+
+// Differences returns one line for each declared difference between two configurations, of
+// which previous may be nil.
+func Differences(previous, next *pb.Configuration) []string {
+	var lines []string
+	add := func(format string, args ...any) { lines = append(lines, fmt.Sprintf(format, args...)) }
+	if previous.GetDeployment() != next.GetDeployment() {
+		add("deployment is %s", next.GetDeployment())
+	}
+	if !slices.Equal(previous.GetZones(), next.GetZones()) {
+		add("zones are %s", strings.Join(next.GetZones(), ", "))
+	}
+	lines = append(lines, daemonDifferences(previous, next)...)
+	olds, news := servicesByNumber(previous), servicesByNumber(next)
+	for _, service := range next.GetServices() {
+		before := olds[service.GetNumber()]
+		if before == nil {
+			add("add service %s at %s", service.GetName(), service.GetAddress())
+		}
+		lines = append(lines, serviceDifferences(before, service)...)
+	}
+	for _, before := range previous.GetServices() {
+		if news[before.GetNumber()] == nil {
+			add("remove service %s at %s", before.GetName(), before.GetAddress())
+		}
+	}
+	return lines
+}
+
+func daemonDifferences(previous, next *pb.Configuration) []string {
+	var lines []string
+	for _, d := range next.GetDaemons() {
+		before := findDaemon(previous, d.GetName())
+		switch {
+		case before == nil:
+			lines = append(lines, "add daemon "+d.GetName())
+		case before.GetState() != d.GetState():
+			lines = append(lines, fmt.Sprintf("daemon %s is %s", d.GetName(), stateName(d.GetState())))
+		}
+	}
+	for _, before := range previous.GetDaemons() {
+		if findDaemon(next, before.GetName()) == nil {
+			lines = append(lines, "remove daemon "+before.GetName())
+		}
+	}
+	return lines
+}
+
+func serviceDifferences(before, service *pb.Service) []string {
+	var lines []string
+	add := func(format string, args ...any) { lines = append(lines, fmt.Sprintf(format, args...)) }
+	name := service.GetName()
+	if before != nil && before.GetAim() != service.GetAim() {
+		add("%s: aim is %s", name, AimName(service.GetAim()))
+	}
+	if before != nil && !proto.Equal(before.GetLimits(), service.GetLimits()) {
+		add("%s: limits are %s", name, limitsText(service.GetLimits()))
+	}
+	old := map[uint32]*pb.Upstream{}
+	for _, u := range before.GetUpstreams() {
+		old[u.GetNumber()] = u
+	}
+	for _, u := range service.GetUpstreams() {
+		was, ok := old[u.GetNumber()]
+		delete(old, u.GetNumber())
+		if !ok {
+			add("%s: add upstream %s at %s as number %d", name, u.GetName(), u.GetAddress(), u.GetNumber())
+		} else if !proto.Equal(was, u) {
+			add("%s: upstream %s is %s, %d slots, weight %d, zone %s", name, u.GetName(),
+				stateName(u.GetState()), u.GetSlots(), u.GetWeight(), u.GetZone())
+		}
+	}
+	for _, u := range before.GetUpstreams() {
+		if _, gone := old[u.GetNumber()]; gone {
+			add("%s: remove upstream %s at %s, number %d", name, u.GetName(), u.GetAddress(), u.GetNumber())
+		}
+	}
+	return lines
+}
+
+// AimName returns the name of an aim in declarations.
+func AimName(aim pb.Aim) string { return strings.ToLower(strings.TrimPrefix(aim.String(), "AIM_")) }
+
+func stateName(s pb.DeclaredState) string {
+	return strings.ToLower(strings.TrimPrefix(s.String(), "DECLARED_STATE_"))
+}
+
+func limitsText(l *pb.Limits) string {
+	return fmt.Sprintf("queue_length %d, retry_percent %d, idle_limit %s, drain_limit %s, load_bound_percent %d",
+		l.GetQueueLength(), l.GetRetryPercent(), milliseconds(l.GetIdleLimitMs()), milliseconds(l.GetDrainLimitMs()), l.GetLoadBoundPercent())
+}
+
+func milliseconds(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
--- /dev/null
+++ b/config/declaration/errors.go
@@ -0,0 +1,16 @@
+package declaration
+
+import "errors"
+
+// Errors of Build and of the edits.
+var (
+	ErrUnknownService   = errors.New("service is not declared")
+	ErrUnknownUpstream  = errors.New("upstream is not declared")
+	ErrUnknownDaemon    = errors.New("daemon is not declared")
+	ErrUnknownZone      = errors.New("zone is not declared")
+	ErrDuplicateName    = errors.New("name is already declared")
+	ErrDuplicateAddress = errors.New("address is already declared")
+	ErrInvalidValue     = errors.New("value is not allowed")
+	// ErrNotDraining refuses the removal of an upstream that may have established flows.
+	ErrNotDraining = errors.New("upstream is not draining")
+)
--- /dev/null
+++ b/config/relay/rank.go
@@ -0,0 +1,64 @@
+package relay
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fulmarfield/fulmarfield/membership"
+)
+
+// watchersPerZone is two, so that the loss of one daemon does not delay changes in its zone.
+const watchersPerZone = 2
+
+// zoneRanking returns the live members of a zone, self included, in the order of their
+// rendezvous rank. The first watchersPerZone are the watchers.
+func zoneRanking(view *membership.View, zone string, self membership.DaemonID) []membership.DaemonID {
+	ids := []membership.DaemonID{self}
+	for _, m := range view.Members {
+		if m.Zone == zone && m.CanOwn() && m.ID != self {
+			ids = append(ids, m.ID)
+		}
+	}
+	sort.Slice(ids, func(i, j int) bool {
+		a, b := rank(zone, ids[i]), rank(zone, ids[j])
+		return a > b || a == b && ids[i] < ids[j]
+	})
+	return ids
+}
+
+func rank(zone string, id membership.DaemonID) uint64 {
+	return xxhash.Sum64String("config/watch/" + zone + "/" + string(id))
+}
+
+// isWatcher reports whether self is one of the watchers of its zone.
+func isWatcher(view *membership.View, zone string, self membership.DaemonID) bool {
+	for i, id := range zoneRanking(view, zone, self) {
+		if id == self {
+			return i < watchersPerZone
+		}
+	}
+	return false
+}
+
+// pushTargets returns the daemons of the zone that self pushes to as a watcher: every
+// watchersPerZone-th of the others, and the other watcher.
+func pushTargets(view *membership.View, zone string, self membership.DaemonID) []membership.DaemonID {
+	ranking := zoneRanking(view, zone, self)
+	position := -1
+	for i := range min(watchersPerZone, len(ranking)) {
+		if ranking[i] == self {
+			position = i
+		}
+	}
+	if position < 0 {
+		return nil
+	}
+	var targets []membership.DaemonID
+	for i := watchersPerZone; i < len(ranking) && len(targets) < maxPushes; i++ {
+		if i%watchersPerZone == position {
+			targets = append(targets, ranking[i])
+		}
+	}
+	return targets
+}
--- /dev/null
+++ b/standin/platform/deployment.go
@@ -0,0 +1,36 @@
+package platform
+
+import (
+	"net/netip"
+
+	"github.com/fulmarfield/fulmarfield/config/declaration"
+	"github.com/fulmarfield/fulmarfield/platform"
+)
+
+// Ports of a daemon in the published deployments.
+const (
+	DataPort    = 7000
+	PeerPort    = 7001
+	ControlPort = 7002
+)
+
+// PutDeployment lists the VMs of a declaration. Daemons without an address are left out.
+func (p *Platform) PutDeployment(d *declaration.Declaration) {
+	for _, daemon := range d.Daemons {
+		if !daemon.Address.IsValid() {
+			continue
+		}
+		p.PutVM(platform.VM{
+			Name: daemon.Name, Kind: platform.KindDaemon, Zone: daemon.Zone, State: platform.StateLive,
+			PeerAddress:    netip.AddrPortFrom(daemon.Address, PeerPort),
+			ControlAddress: netip.AddrPortFrom(daemon.Address, ControlPort),
+			DataAddress:    netip.AddrPortFrom(daemon.Address, DataPort),
+		})
+	}
+	for _, u := range d.Upstreams {
+		p.PutVM(platform.VM{
+			Name: u.Name, Kind: platform.KindUpstream, Zone: u.Zone, State: platform.StateLive,
+			DataAddress: u.Address,
+		})
+	}
+}
--- /dev/null
+++ b/standin/platform/store.go
@@ -0,0 +1,86 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/fulmarfield/fulmarfield/platform"
+)
+
+// DefaultWatchWait is the length of a long poll of the in-memory store.
+const DefaultWatchWait = 25 * time.Second
+
+// Store is the platform without HTTP, as seen from one source address. It implements
+// platform.Store and platform.VMLister and suits tests in virtual time.
+type Store struct {
+	platform  *Platform
+	source    netip.Addr
+	watchWait time.Duration
+}
+
+// Store returns the in-memory client for callers at a source address.
+func (p *Platform) Store(source netip.Addr) *Store {
+	return &Store{platform: p, source: source, watchWait: DefaultWatchWait}
+}
+
+// Get implements platform.Store.
+func (s *Store) Get(ctx context.Context, key string) (platform.Object, error) {
+	o, err := s.platform.get(ctx, s.source, key)
+	return o, readError("get", key, err)
+}
+
+// Put implements platform.Store.
+func (s *Store) Put(ctx context.Context, key string, value []byte, c platform.Condition) (platform.Version, error) {
+	v, err := s.platform.put(ctx, s.source, key, value, c)
+	return v, writeError("put", key, err)
+}
+
+// Delete implements platform.Store.
+func (s *Store) Delete(ctx context.Context, key string, c platform.Condition) error {
+	return writeError("delete", key, s.platform.remove(ctx, s.source, key, c))
+}
+
+// List implements platform.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+	entries, err := s.platform.list(ctx, s.source, prefix)
+	return entries, readError("list", prefix, err)
+}
+
+// Watch implements platform.Store.
+func (s *Store) Watch(ctx context.Context, key string, after platform.Version) (platform.Object, bool, error) {
+	o, changed, err := s.platform.watch(ctx, s.source, key, after, s.watchWait)
+	return o, changed, readError("watch", key, err)
+}
+
+// ListVMs implements platform.VMLister.
+func (s *Store) ListVMs(ctx context.Context) ([]platform.VM, error) {
+	vms, err := s.platform.listVMs(ctx, s.source)
+	return vms, readError("list", "VMs", err)
+}
+
+func readError(call, key string, err error) error {
+	if err == nil {
+		return nil
+	}
+	if isFault(err) {
+		return fmt.Errorf("%s %s: %w: %w", call, key, platform.ErrUnavailable, err)
+	}
+	return fmt.Errorf("%s %s: %w", call, key, err)
+}
+
+func writeError(call, key string, err error) error {
+	if errors.Is(err, errAnswerLost) {
+		return fmt.Errorf("%s %s: %w: %w", call, key, platform.ErrOutcomeUnknown, err)
+	}
+	return readError(call, key, err)
+}
+
+// isFault reports whether a call failed before it took effect. A cancelled call is one: the
+// core cancels only while it waits before the effect.
+func isFault(err error) bool {
+	return errors.Is(err, errOutage) || errors.Is(err, errCut) ||
+		errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
+}
