Add peer envelope, UDP socket, membership and ownership

Cause: daemons need an authenticated channel, a view of each other and one holder for each resource. Change: wire seals envelopes, refuses replays and reads UDP batches; peer sends datagrams and connect calls; membership probes and publishes the view; ownership claims, offers and routes; internal/clustertest runs daemons over the in-memory network in virtual time.

--- /dev/null
+++ b/internal/clustertest/cluster.go
@@ -0,0 +1,233 @@
+// Package clustertest runs daemons that consist of membership, ownership and peer messaging
+// over an in-memory network, for tests in virtual time. It owns the daemons and the faults
+// that a test sets: kills, pauses, cuts and loss.
+package clustertest
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/membership"
+	"github.com/fulmarfield/fulmarfield/ownership"
+	"github.com/fulmarfield/fulmarfield/wire/memnet"
+)
+
+// Latency is the one-way latency between daemons.
+const Latency = 500 * time.Microsecond
+
+// ErrUnreachable reports a call over a cut or to a daemon that does not run.
+var ErrUnreachable = errors.New("daemon is unreachable")
+
+// Key is the cluster key of all daemons.
+var Key = []byte("cluster key of the tests")
+
+// Cluster is a group of daemons. It must be made inside a synctest bubble.
+type Cluster struct {
+	Network *memnet.Network
+	Logger  zerolog.Logger
+	// Resources exist by the configuration; set before Start.
+	Resources []ownership.Resource
+	// Zone gives the preferred zone of a resource; set before Start.
+	Zone func(ownership.Resource) string
+	// Seeds returns what the VM list says; nil lists all daemons ever started.
+	Seeds func() []membership.Member
+	// BeforeClaim is called before each claim is delivered, and may kill daemons.
+	BeforeClaim func(from, to *Daemon)
+
+	mu      sync.Mutex
+	daemons map[membership.DaemonID]*Daemon
+	listed  []membership.Member
+	cut     func(a, b *Daemon) bool
+	loss    func() bool
+	rand    *rand.Rand
+	tokens  uint64
+}
+
+// New returns a cluster without daemons whose random choices follow from seed.
+func New(seed uint64) *Cluster {
+	c := &Cluster{
+		Logger:  zerolog.Nop(),
+		daemons: map[membership.DaemonID]*Daemon{},
+		rand:    rand.New(rand.NewPCG(seed, seed)),
+	}
+	c.Network = memnet.New(c.policy)
+	return c
+}
+
+// Name returns the ID of daemon number n in a zone.
+func Name(zone string, n int) membership.DaemonID {
+	return membership.DaemonID(fmt.Sprintf("%s-%02d", zone, n))
+}
+
+// SetCut makes the pairs of daemons for which cut returns true unreachable for each other;
+// nil heals all.
+func (c *Cluster) SetCut(cut func(a, b *Daemon) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut = cut
+}
+
+// SetLoss loses the given share of all datagrams.
+func (c *Cluster) SetLoss(share float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.loss = func() bool { return c.rand.Float64() < share }
+}
+
+// Daemon returns the daemon that runs under an ID, or nil.
+func (c *Cluster) Daemon(id membership.DaemonID) *Daemon {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.daemons[id]
+}
+
+// Daemons returns all running daemons.
+func (c *Cluster) Daemons() []*Daemon {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := make([]*Daemon, 0, len(c.daemons))
+	for _, d := range c.daemons {
+		list = append(list, d)
+	}
+	return list
+}
+
+// StopAll ends all daemons and waits for their tasks.
+func (c *Cluster) StopAll() {
+	for _, d := range c.Daemons() {
+		d.Resume()
+		d.Kill()
+	}
+}
+
+// policy delivers after Latency unless the pair is cut or the datagram is lost.
+func (c *Cluster) policy(from, to netip.AddrPort, _ []byte) []time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a, b := c.at(from), c.at(to)
+	if a != nil && b != nil && c.cut != nil && c.cut(a, b) {
+		return nil
+	}
+	if c.loss != nil && c.loss() {
+		return nil
+	}
+	return []time.Duration{Latency}
+}
+
+func (c *Cluster) at(addr netip.AddrPort) *Daemon {
+	for _, d := range c.daemons {
+		if d.Self.PeerAddress == addr {
+			return d
+		}
+	}
+	return nil
+}
+
+// call runs f at another daemon as a connect call would: it costs two latencies, is refused
+// over a cut, and waits while the daemon is paused.
+func (c *Cluster) call(ctx context.Context, from *Daemon, control netip.AddrPort, f func(to *Daemon) error) error {
+	from.gate()
+	if err := sleep(ctx, Latency); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	var to *Daemon
+	for _, d := range c.daemons {
+		if d.Self.ControlAddress == control {
+			to = d
+		}
+	}
+	blocked := to == nil || c.daemons[from.Self.ID] != from || c.cut != nil && c.cut(from, to)
+	c.mu.Unlock()
+	if blocked {
+		return ErrUnreachable
+	}
+	if err := to.gateUntil(ctx); err != nil {
+		return err
+	}
+	if err := f(to); err != nil {
+		return err
+	}
+	if err := sleep(ctx, Latency); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	blocked = c.cut != nil && c.cut(from, to)
+	c.mu.Unlock()
+	if blocked {
+		return ErrUnreachable // The answer is lost after the call took effect.
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
+func (c *Cluster) seeds() []membership.Member {
+	if c.Seeds != nil {
+		return c.Seeds()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]membership.Member(nil), c.listed...)
+}
+
+func (c *Cluster) nextToken() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tokens++
+	return c.tokens
+}
+
+// Active returns the running, not paused daemons that serve r.
+func (c *Cluster) Active(r ownership.Resource) []*Daemon {
+	var active []*Daemon
+	for _, d := range c.Daemons() {
+		if d.Keeper.Serves(r) {
+			active = append(active, d)
+		}
+	}
+	return active
+}
+
+// Unsettled returns the resources that are not served by exactly one daemon.
+func (c *Cluster) Unsettled() []ownership.Resource {
+	var list []ownership.Resource
+	for _, r := range c.Resources {
+		if len(c.Active(r)) != 1 {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// Partitions returns the flow partitions of services 1 to services, and admissions of
+// upstreams 1 to upstreams of service 1.
+func Partitions(services, upstreams int) []ownership.Resource {
+	var list []ownership.Resource
+	for s := 1; s <= services; s++ {
+		for p := range ownership.PartitionCount {
+			list = append(list, ownership.Resource{
+				Kind: pb.ResourceKind_RESOURCE_KIND_FLOW_PARTITION, Service: uint32(s), Index: uint32(p),
+			})
+		}
+	}
+	for u := 1; u <= upstreams; u++ {
+		list = append(list, ownership.Admission(1, uint32(u)))
+	}
+	return list
+}
--- /dev/null
+++ b/membership/run.go
@@ -0,0 +1,78 @@
+package membership
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Run probes and joins until ctx ends, then returns nil.
+func (m *Membership) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	defer cancel()
+	tasks.Go(func() { m.runNotifier(ctx) })
+
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	last := time.Now()
+	nextProbe := last
+	m.startJoin(last)
+	for {
+		now := time.Now()
+		if now.Sub(last) > DropTimeout {
+			m.resume(now, now.Sub(last))
+		}
+		last = now
+		m.dropSuspects(now)
+		m.checkProbes(now)
+		if !now.Before(nextProbe) {
+			nextProbe = now.Add(ProbeInterval)
+			m.startProbe(now)
+		}
+		m.retryGone(now)
+		m.checkJoin(ctx, now, &tasks)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (m *Membership) runNotifier(ctx context.Context) {
+	var previous *View
+	previous = m.notify(&View{})
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.changed:
+			previous = m.notify(previous)
+		}
+	}
+}
+
+// resume takes a new incarnation after a pause in which the others dropped this daemon.
+// Nothing that was suspected before the pause counts, since no ack could be read.
+func (m *Membership) resume(now time.Time, gap time.Duration) {
+	m.options.Logger.Warn().Str("event", "pause_detected").Dur("gap", gap).Send()
+	m.options.Counters.Count("membership.paused")
+	m.options.OnPause()
+	m.mu.Lock()
+	m.self.Incarnation = max(m.self.Incarnation+1, uint64(now.UnixNano()))
+	m.gossip.add(m.self, m.size())
+	clear(m.probes)
+	clear(m.relayed)
+	for _, e := range m.entries {
+		if !e.dropAt.IsZero() {
+			e.dropAt = now.Add(DropTimeout)
+		}
+	}
+	m.publish()
+	peers := m.reachable()
+	m.mu.Unlock()
+	m.startJoin(now)
+	m.announce(peers)
+}
--- /dev/null
+++ b/peer/calls.go
@@ -0,0 +1,54 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+
+	"connectrpc.com/connect"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/membership"
+)
+
+// Claim calls Claim at a daemon of the view. It returns ErrUnknownPeer or ErrTransport.
+func (c *ClientSet) Claim(ctx context.Context, to membership.DaemonID, r *pb.ClaimRequest) (*pb.ClaimResponse, error) {
+	client, err := c.Client(to)
+	if err != nil {
+		return nil, err
+	}
+	response, err := client.Claim(ctx, connect.NewRequest(r))
+	if err != nil {
+		return nil, callError("claim", to, err)
+	}
+	return response.Msg, nil
+}
+
+// Offer calls Offer at a daemon of the view. It returns ErrUnknownPeer or ErrTransport.
+func (c *ClientSet) Offer(ctx context.Context, to membership.DaemonID, r *pb.OfferRequest) (*pb.OfferResponse, error) {
+	client, err := c.Client(to)
+	if err != nil {
+		return nil, err
+	}
+	response, err := client.Offer(ctx, connect.NewRequest(r))
+	if err != nil {
+		return nil, callError("offer", to, err)
+	}
+	return response.Msg, nil
+}
+
+// FetchView calls GetView at the control address of a daemon that need not be in the view. It
+// returns ErrTransport.
+func (c *ClientSet) FetchView(ctx context.Context, from membership.Member, r *pb.GetViewRequest) (*pb.GetViewResponse, error) {
+	response, err := c.ClientAt(from.ControlAddress).GetView(ctx, connect.NewRequest(r))
+	if err != nil {
+		return nil, callError("get view", from.ID, err)
+	}
+	return response.Msg, nil
+}
+
+func callError(call string, to membership.DaemonID, err error) error {
+	if connect.CodeOf(err) == connect.CodeUnauthenticated {
+		return fmt.Errorf("%s at %q: %w: %w", call, to, ErrUnauthenticated, err)
+	}
+	return fmt.Errorf("%s at %q: %w: %w", call, to, ErrTransport, err)
+}
