Announce suspicions at once and test faults of the cluster

Tests cover pauses, cut zones, false suspicions, a lagging VM list, kills during a claim and a join during a leave.

--- /dev/null
+++ b/internal/clustertest/fault_test.go
@@ -0,0 +1,216 @@
+package clustertest_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/internal/clustertest"
+	"github.com/fulmarfield/fulmarfield/membership"
+	"github.com/fulmarfield/fulmarfield/ownership"
+)
+
+func zoneCut(zone string) func(a, b *clustertest.Daemon) bool {
+	return func(a, b *clustertest.Daemon) bool { return (a.Self.Zone == zone) != (b.Self.Zone == zone) }
+}
+
+// expectDistinctTokens checks that no two daemons serve a resource with the same guard token.
+func expectDistinctTokens(g *WithT, c *clustertest.Cluster) {
+	for _, r := range c.Resources {
+		seen := map[uint64]bool{}
+		for _, d := range c.Active(r) {
+			g.Expect(seen[d.Keeper.Token(r)]).To(BeFalse(), "two holders share a guard token")
+			seen[d.Keeper.Token(r)] = true
+		}
+	}
+}
+
+// Guards against a daemon that wakes from a pause and goes on serving what others recovered.
+func TestPauseLongerThanDropTimeout(t *testing.T) {
+	inCluster(t, 6, func(g *WithT, c *clustertest.Cluster, daemons []*clustertest.Daemon) {
+		waitSettled(t, c, time.Second)
+		paused := daemons[1]
+		before := paused.Membership.SelfIncarnation()
+		held := map[ownership.Resource]uint64{}
+		for _, r := range c.Resources {
+			if paused.Keeper.Serves(r) {
+				held[r] = paused.Keeper.Token(r)
+			}
+		}
+		paused.Pause()
+		time.Sleep(5 * time.Second)
+		for r := range held {
+			g.Expect(c.Active(r)).To(HaveLen(2), "the others recover while the daemon is paused")
+		}
+		paused.Resume()
+		took := waitSettled(t, c, 3*time.Second)
+		t.Logf("one holder each %v after the pause", took)
+		g.Expect(paused.Membership.SelfIncarnation()).To(BeNumerically(">", before))
+		g.Expect(paused.Counters.Get("membership.paused")).To(Equal(int64(1)))
+		time.Sleep(5 * time.Second)
+		g.Expect(c.Unsettled()).To(BeEmpty())
+		for r, token := range held {
+			g.Expect(c.Active(r)[0].Keeper.Token(r)).NotTo(Equal(token), "the token of before the pause must not come back")
+		}
+	})
+}
+
+// Guards against sides of a healed cut that stay apart, or that lose each other's records.
+func TestZoneCutAndHeal(t *testing.T) {
+	inCluster(t, 6, func(g *WithT, c *clustertest.Cluster, daemons []*clustertest.Daemon) {
+		waitSettled(t, c, time.Second)
+		c.SetCut(zoneCut("z1"))
+		time.Sleep(20 * time.Second)
+		expectDistinctTokens(g, c)
+		flows := map[ownership.Resource][]uint32{}
+		for _, r := range c.Resources {
+			active := c.Active(r)
+			g.Expect(active).To(HaveLen(2), "each side serves with what it has")
+			for i, d := range active {
+				d.Keeper.AddFlow(r, uint32(i+1))
+				flows[r] = append(flows[r], uint32(i+1))
+			}
+		}
+		incarnations := map[membership.DaemonID]uint64{}
+		for _, d := range daemons {
+			incarnations[d.Self.ID] = d.Membership.SelfIncarnation()
+		}
+		c.SetCut(nil)
+		took := waitSettled(t, c, 15*time.Second)
+		t.Logf("one holder each %v after the heal", took)
+		for r, callers := range flows {
+			for _, caller := range callers {
+				g.Expect(c.Active(r)[0].Keeper.HasFlow(r, caller)).To(BeTrue(), "records of both sides are merged")
+			}
+		}
+		for _, d := range daemons {
+			g.Expect(d.Membership.SelfIncarnation()).To(BeNumerically(">", incarnations[d.Self.ID]),
+				"a member that was dropped is accepted again after a refutation")
+		}
+		time.Sleep(10 * time.Second)
+		g.Expect(c.Unsettled()).To(BeEmpty())
+	})
+}
+
+// Guards against a daemon that loses its resources because two others cannot reach it for a
+// moment.
+func TestFalseSuspicionIsRefuted(t *testing.T) {
+	inCluster(t, 6, func(g *WithT, c *clustertest.Cluster, daemons []*clustertest.Daemon) {
+		waitSettled(t, c, time.Second)
+		time.Sleep(5 * time.Second)
+		victim := daemons[3]
+		c.SetCut(func(a, b *clustertest.Daemon) bool { return a == victim || b == victim })
+		for suspected(daemons, victim) == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		c.SetCut(nil)
+		time.Sleep(3 * time.Second)
+		g.Expect(victim.Counters.Get("membership.refuted")).To(BeNumerically(">", 0))
+		for _, d := range daemons {
+			g.Expect(d.Counters.Get("membership.dropped")).To(BeZero())
+			member, _ := d.Membership.View().Member(victim.Self.ID)
+			g.Expect(member.State).To(Equal(pb.MemberState_MEMBER_STATE_ALIVE))
+		}
+		g.Expect(c.Unsettled()).To(BeEmpty())
+	})
+}
+
+func suspected(daemons []*clustertest.Daemon, victim *clustertest.Daemon) int64 {
+	n := int64(0)
+	for _, d := range daemons {
+		if d != victim {
+			n += d.Counters.Get("membership.suspect")
+		}
+	}
+	return n
+}
+
+// Guards against a suspicion when only one path between two daemons is cut.
+func TestIndirectProbeAvoidsSuspicion(t *testing.T) {
+	inCluster(t, 6, func(g *WithT, c *clustertest.Cluster, daemons []*clustertest.Daemon) {
+		waitSettled(t, c, time.Second)
+		time.Sleep(time.Second)
+		x, y := daemons[0], daemons[1]
+		c.SetCut(func(a, b *clustertest.Daemon) bool { return a == x && b == y || a == y && b == x })
+		time.Sleep(20 * time.Second)
+		for _, d := range daemons {
+			g.Expect(d.Counters.Get("membership.suspect")).To(BeZero(), string(d.Self.ID))
+		}
+	})
+}
+
+// Guards against a member that is dropped because the VM list no longer names it, and against
+// a daemon that is not found because the VM list does not name it yet.
+func TestLaggingVMList(t *testing.T) {
+	inCluster(t, 6, func(g *WithT, c *clustertest.Cluster, daemons []*clustertest.Daemon) {
+		waitSettled(t, c, time.Second)
+		gone := membership.Member{ID: "z9-99", PeerAddress: daemons[0].Self.PeerAddress, ControlAddress: daemons[0].Self.ControlAddress}
+		c.Seeds = func() []membership.Member { return []membership.Member{daemons[0].Self, gone} }
+		joined := c.Start("z2", 50)
+		time.Sleep(3 * time.Second)
+		for _, d := range c.Daemons() {
+			g.Expect(d.Membership.View().Members).To(HaveLen(7), string(d.Self.ID))
+		}
+		g.Expect(joined.Ownership.Held()).To(BeNumerically(">", 0))
+		time.Sleep(2 * time.Minute)
+		for _, d := range c.Daemons() {
+			g.Expect(d.Counters.Get("membership.dropped")).To(BeZero())
+		}
+		g.Expect(c.Unsettled()).To(BeEmpty())
+	})
+}
+
+// Guards against a start that waits for ever when the VM list is empty or names dead daemons.
+func TestStartWithoutSeeds(t *testing.T) {
+	inCluster(t, 1, func(_ *WithT, c *clustertest.Cluster, _ []*clustertest.Daemon) {
+		took := waitSettled(t, c, 2*time.Second)
+		t.Logf("a daemon alone serves after %v", took)
+	})
+}
+
+// Guards against resources without a holder when either end of a claim dies during it.
+func TestKillInTheMiddleOfAClaim(t *testing.T) {
+	for _, victim := range []string{"claimer", "holder"} {
+		t.Run(victim, func(t *testing.T) {
+			inCluster(t, 6, func(g *WithT, c *clustertest.Cluster, _ []*clustertest.Daemon) {
+				waitSettled(t, c, time.Second)
+				killed := false
+				c.BeforeClaim = func(from, to *clustertest.Daemon) {
+					if killed {
+						return
+					}
+					killed = true
+					if victim == "claimer" {
+						from.Kill()
+					} else {
+						to.Kill()
+					}
+				}
+				c.Start("z0", 60)
+				time.Sleep(500 * time.Millisecond)
+				took := waitSettled(t, c, 6*time.Second)
+				t.Logf("one holder each %v after the kill of the %s", took+500*time.Millisecond, victim)
+				g.Expect(killed).To(BeTrue())
+				expectDistinctTokens(g, c)
+			})
+		})
+	}
+}
+
+// Guards against records that are lost when a daemon joins while another one leaves.
+func TestJoinDuringLeave(t *testing.T) {
+	inCluster(t, 6, func(g *WithT, c *clustertest.Cluster, daemons []*clustertest.Daemon) {
+		waitSettled(t, c, time.Second)
+		for i, r := range c.Resources {
+			c.Active(r)[0].Keeper.AddFlow(r, uint32(i))
+		}
+		c.Start("z1", 70)
+		g.Expect(daemons[0].Leave()).To(Succeed())
+		waitSettled(t, c, 5*time.Second)
+		for i, r := range c.Resources {
+			g.Expect(c.Active(r)[0].Keeper.HasFlow(r, uint32(i))).To(BeTrue())
+		}
+	})
+}
--- a/membership/join.go
+++ b/membership/join.go
@@ -73,7 +73,7 @@
 	if now.Before(j.syncAt) {
 		return Member{}, false
 	}
-	others := m.pickOthers(m.self.ID)
+	others := m.pickOthers(m.self.ID, 1)
 	if len(others) == 0 {
 		return Member{}, false
 	}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -30,6 +30,9 @@
 	order   []DaemonID
 	epoch   uint64
 	join    joinState
+	// urgent is set when a change must reach others before the next probes.
+	urgent     bool
+	lastUrgent time.Time
 }
 
 // entry is what this daemon knows of another one.
@@ -101,7 +104,7 @@
 	m.announce(peers)
 }
 
-// announce probes all peers at once, so that a leave is known within one round trip.
+// announce probes the peers at once, so that changes are known within one round trip.
 func (m *Membership) announce(peers []Member) {
 	for _, p := range peers {
 		m.mu.Lock()
@@ -111,6 +114,20 @@
 	}
 }
 
+// announceUrgent passes an urgent change on to some peers. Without it, a suspicion reaches
+// the last daemon several probe intervals after the first, and its drop is as much later.
+func (m *Membership) announceUrgent(now time.Time) {
+	m.mu.Lock()
+	if !m.urgent || now.Sub(m.lastUrgent) < urgentPause {
+		m.mu.Unlock()
+		return
+	}
+	m.urgent, m.lastUrgent = false, now
+	peers := m.pickOthers(m.self.ID, urgentPeers)
+	m.mu.Unlock()
+	m.announce(peers)
+}
+
 // HandleGetView merges the caller into the view and returns all members, also those that are gone.
 func (m *Membership) HandleGetView(request *pb.GetViewRequest) *pb.GetViewResponse {
 	if p := request.GetSelf(); p != nil {
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -38,6 +38,7 @@
 	}
 	m.self.Incarnation = max(said.Incarnation+1, uint64(time.Now().UnixNano()))
 	m.gossip.add(m.self, m.size())
+	m.urgent = true
 	m.options.Counters.Count("membership.refuted")
 	m.options.Logger.Info().Str("event", "suspicion_refuted").Str("said", said.State.String()).Send()
 	return true
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -151,7 +151,7 @@
 	for nonce, p := range m.probes {
 		if !p.asked && !now.Before(p.indirectAt) {
 			p.asked = true
-			for _, via := range m.pickOthers(p.target) {
+			for _, via := range m.pickOthers(p.target, indirectProbes) {
 				requests = append(requests, via)
 				datagrams = append(datagrams, &pb.PeerDatagram{Body: &pb.PeerDatagram_ProbeRequest{
 					ProbeRequest: &pb.ProbeRequest{Nonce: nonce, Target: string(p.target)},
@@ -188,6 +188,7 @@
 		said := e.Member
 		said.State = pb.MemberState_MEMBER_STATE_SUSPECT
 		m.changeState(e, said)
+		m.urgent = true
 		return true
 	case pb.MemberState_MEMBER_STATE_LEAVING:
 		// Stays leaving for the others; this daemon drops it if it stays silent.
--- a/membership/run.go
+++ b/membership/run.go
@@ -31,6 +31,7 @@
 			nextProbe = now.Add(ProbeInterval)
 			m.startProbe(now)
 		}
+		m.announceUrgent(now)
 		m.retryGone(now)
 		m.checkJoin(ctx, now, &tasks)
 		select {
--- a/membership/target.go
+++ b/membership/target.go
@@ -31,16 +31,16 @@
 	m.order[at] = id
 }
 
-// pickOthers returns random reachable members to probe target for this daemon. m.mu is held.
-func (m *Membership) pickOthers(target DaemonID) []Member {
+// pickOthers returns up to limit random reachable members other than one. m.mu is held.
+func (m *Membership) pickOthers(other DaemonID, limit int) []Member {
 	var others []Member
 	for _, member := range m.reachable() {
-		if member.ID != target {
+		if member.ID != other {
 			others = append(others, member)
 		}
 	}
 	m.options.Rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	return others[:min(len(others), indirectProbes)]
+	return others[:min(len(others), limit)]
 }
 
 // nextNonce returns a number for a probe, unique among those in progress. m.mu is held.
