--- /dev/null
+++ b/peer/messenger_test.go
@@ -0,0 +1,161 @@
+package peer_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/membership"
+	"github.com/fulmarfield/fulmarfield/peer"
+	"github.com/fulmarfield/fulmarfield/telemetry"
+	"github.com/fulmarfield/fulmarfield/wire"
+	"github.com/fulmarfield/fulmarfield/wire/memnet"
+)
+
+var (
+	key   = []byte("cluster key")
+	addrA = netip.MustParseAddrPort("127.1.0.1:7400")
+	addrB = netip.MustParseAddrPort("127.1.0.2:7400")
+	addrE = netip.MustParseAddrPort("127.1.0.66:7400")
+)
+
+// station is a messenger of a test with what it received.
+type station struct {
+	*peer.Messenger
+	counters    *telemetry.Counters
+	incarnation uint64
+	got         []*pb.PeerDatagram
+}
+
+func view() *membership.View {
+	return &membership.View{Members: []membership.Member{
+		{ID: "a", PeerAddress: addrA, Incarnation: 5, State: pb.MemberState_MEMBER_STATE_ALIVE},
+		{ID: "b", PeerAddress: addrB, Incarnation: 5, State: pb.MemberState_MEMBER_STATE_ALIVE},
+	}}
+}
+
+func newStation(t *testing.T, conn wire.Conn, id membership.DaemonID, key []byte) *station {
+	t.Helper()
+	s := &station{counters: telemetry.NewCounters(), incarnation: 5}
+	s.Messenger = peer.NewMessenger(peer.MessengerOptions{
+		Self: id, Incarnation: func() uint64 { return s.incarnation }, Key: key, Conn: conn,
+		Viewer: membership.ViewerFunc(view), Counters: s.counters,
+	})
+	s.Handle(func(_ membership.DaemonID, m *pb.PeerDatagram) { s.got = append(s.got, m) })
+	return s
+}
+
+func probe() *pb.PeerDatagram {
+	return &pb.PeerDatagram{Body: &pb.PeerDatagram_Probe{Probe: &pb.Probe{Nonce: 1}}}
+}
+
+func inNetwork(t *testing.T, f func(g *WithT, n *memnet.Network, a, b *station)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		n := memnet.New(nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		listen := func(id membership.DaemonID, addr netip.AddrPort) *station {
+			conn, err := n.Listen(addr)
+			g.Expect(err).NotTo(HaveOccurred())
+			s := newStation(t, conn, id, key)
+			go func() { _ = s.Run(ctx) }()
+			return s
+		}
+		f(g, n, listen("a", addrA), listen("b", addrB))
+	})
+}
+
+// Guards against a datagram that arrives without the header fields or counts as another kind.
+func TestSend(t *testing.T) {
+	inNetwork(t, func(g *WithT, _ *memnet.Network, a, b *station) {
+		g.Expect(a.Send("b", probe())).To(Succeed())
+		g.Expect(a.SendForward("b", 2, pb.ForwardRole_FORWARD_ROLE_ANSWER, []byte("packet"))).To(Succeed())
+		synctest.Wait()
+		g.Expect(b.got).To(HaveLen(2))
+		want := &pb.PeerDatagram{Sender: "a", Receiver: "b", Incarnation: 5, Sequence: 2,
+			Body: &pb.PeerDatagram_Forward{Forward: &pb.Forward{Hops: 2, Role: pb.ForwardRole_FORWARD_ROLE_ANSWER, Packet: []byte("packet")}}}
+		g.Expect(proto.Equal(b.got[1], want)).To(BeTrue(), "the fast path must write the declared message: %v", b.got[1])
+		g.Expect(a.counters.Get("control.sent.probe")).To(BeNumerically(">", 28))
+		g.Expect(b.counters.Get("control.received.probe")).To(Equal(a.counters.Get("control.sent.probe")))
+		g.Expect(b.counters.Get("forward.received")).To(Equal(a.counters.Get("forward.sent")))
+		g.Expect(a.counters.Get("control.sent.forward")).To(BeZero(), "a forward is not control traffic")
+
+		g.Expect(a.Send("unknown", probe())).To(MatchError(peer.ErrUnknownPeer))
+		large := &pb.PeerDatagram{Body: &pb.PeerDatagram_Forward{Forward: &pb.Forward{Packet: make([]byte, 3000)}}}
+		g.Expect(a.Send("b", large)).To(MatchError(peer.ErrTooLarge))
+		g.Expect(a.SendForward("b", 1, 1, make([]byte, 3000))).To(MatchError(peer.ErrTooLarge))
+		g.Expect(a.SendForward("b", 1, 1, make([]byte, wire.MaxPacketBytes))).To(Succeed())
+	})
+}
+
+// Guards against acting on a forged, replayed, misdirected or malformed datagram.
+func TestReceiveRefuses(t *testing.T) {
+	inNetwork(t, func(g *WithT, n *memnet.Network, a, b *station) {
+		var captured []byte
+		n.SetPolicy(func(_, _ netip.AddrPort, data []byte) []time.Duration {
+			captured = append([]byte(nil), data...)
+			return []time.Duration{0}
+		})
+		g.Expect(a.Send("b", probe())).To(Succeed())
+		genuine := captured
+		synctest.Wait()
+		g.Expect(b.got).To(HaveLen(1))
+		evil, err := n.Listen(addrE)
+		g.Expect(err).NotTo(HaveOccurred())
+
+		g.Expect(evil.Send(addrB, genuine)).To(Succeed())
+		g.Expect(evil.Send(addrA, genuine)).To(Succeed())
+		g.Expect(newStation(t, evil, "a", []byte("guessed")).Send("b", probe())).To(Succeed())
+		g.Expect(evil.Send(addrB, []byte("noise"))).To(Succeed())
+		g.Expect(evil.Send(addrB, wire.NewSealer(key).Seal(nil, []byte{0xff}))).To(Succeed())
+		synctest.Wait()
+		g.Expect(b.got).To(HaveLen(1))
+		g.Expect(a.got).To(BeEmpty())
+		g.Expect(b.counters.Get("drop.peer_replayed")).To(Equal(int64(1)))
+		g.Expect(a.counters.Get("drop.peer_wrong_receiver")).To(Equal(int64(1)))
+		g.Expect(b.counters.Get("drop.peer_forged")).To(Equal(int64(1)))
+		g.Expect(b.counters.Get("drop.peer_malformed")).To(Equal(int64(2)))
+	})
+}
+
+// Guards against a replay to a restarted daemon, whose window is empty, from before the
+// sender's current incarnation.
+func TestReceiveRefusesOlderIncarnationThanView(t *testing.T) {
+	inNetwork(t, func(g *WithT, _ *memnet.Network, a, b *station) {
+		a.incarnation = 4
+		g.Expect(a.Send("b", probe())).To(Succeed())
+		a.incarnation = 6
+		g.Expect(a.Send("b", probe())).To(Succeed())
+		synctest.Wait()
+		g.Expect(b.got).To(HaveLen(1))
+		g.Expect(b.counters.Get("drop.peer_replayed")).To(Equal(int64(1)))
+	})
+}
+
+// discard is a Conn that loses everything.
+type discard struct{ wire.Conn }
+
+func (discard) Send(netip.AddrPort, []byte) error { return nil }
+
+// Guards against an allocation for each forwarded packet.
+func TestSendForwardDoesNotAllocate(t *testing.T) {
+	if raceEnabled {
+		t.Skip("sync.Pool drops items at random under the race detector")
+	}
+	g := NewWithT(t)
+	v := view()
+	m := peer.NewMessenger(peer.MessengerOptions{
+		Self: "a", Incarnation: func() uint64 { return 5 }, Key: key, Conn: discard{},
+		Viewer: membership.ViewerFunc(func() *membership.View { return v }), Counters: telemetry.NewCounters(),
+	})
+	packet := make([]byte, 1400)
+	g.Expect(testing.AllocsPerRun(200, func() { _ = m.SendForward("b", 1, 1, packet) })).To(BeZero())
+}
--- /dev/null
+++ b/peer/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package peer_test
+
+const raceEnabled = true
--- /dev/null
+++ b/wire/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package wire_test
+
+const raceEnabled = false
