Steer flows by bucket table, records and exceptions

Cause: flow owners need placement that survives changes to daemons, upstreams and configuration. Change: weighted Maglev table with the date of each bucket, flow records by partition, bounded-load placement, exceptions replicated to the successor, queries for unknown flows, ownership.Keeper, upstream notices, expiry, paced resets and tokens, and views for operators.

--- /dev/null
+++ b/steering/change.go
@@ -0,0 +1,75 @@
+package steering
+
+import (
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fulmarfield/fulmarfield/config"
+	"github.com/fulmarfield/fulmarfield/wire"
+)
+
+// changed takes a configuration that came into force.
+func (s *Steerer) changed(_, current *config.Snapshot) {
+	for _, owner := range *s.services.Load() {
+		s.update(owner, current)
+	}
+	s.wake()
+}
+
+// update brings a service to the generation of a snapshot, unless it has a later one.
+func (s *Steerer) update(owner *service, current *config.Snapshot) {
+	owner.changes.Lock()
+	defer owner.changes.Unlock()
+	declared, _ := current.Service(owner.number)
+	old := owner.view.Load()
+	if current.Generation() < old.generation || proto.Equal(old.declared, declared) {
+		return
+	}
+	v := newServiceView(current.Generation(), declared, old)
+	// A placement that still uses the old view is under the lock of its partition and is
+	// therefore seen by the walk.
+	owner.view.Store(v)
+	for i := range owner.partitions {
+		if p := owner.partitions[i].Load(); p != nil {
+			s.tableChanged(p, v)
+		}
+	}
+}
+
+// tableChanged makes exceptions of the flows whose upstream the new table does not tell, and
+// queues the flows of removed upstreams for a reset.
+func (s *Steerer) tableChanged(p *partition, v *serviceView) {
+	now := s.now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.released {
+		return
+	}
+	var found []wire.FlowKey
+	for flow, r := range p.flows {
+		switch {
+		case r.has(flagClosed):
+		case v.upstreams[r.upstream] == nil:
+			s.paced.addReset(p, flow)
+		case !r.has(flagException) && p.needsReplica(v, flow, r.upstream, now.unixMS):
+			r.flags |= flagException
+			p.flows[flow] = r
+			p.exceptions[flow] = exception{}
+			found = append(found, flow)
+		}
+	}
+	s.queueNewestFirst(p, found)
+}
+
+// queueNewestFirst queues exceptions so that those with the latest packet are sent first. The
+// caller holds p.mu.
+func (s *Steerer) queueNewestFirst(p *partition, flows []wire.FlowKey) {
+	// The outbox sends what was queued last first.
+	slices.SortFunc(flows, func(a, b wire.FlowKey) int {
+		return int(int64(p.flows[a].last) - int64(p.flows[b].last))
+	})
+	for _, flow := range flows {
+		s.queueBulk(p, flow)
+	}
+}
--- /dev/null
+++ b/steering/decide.go
@@ -0,0 +1,146 @@
+package steering
+
+import (
+	"time"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/wire"
+)
+
+// reuseAfter is the idle time after which an OPEN on an established flow is taken for a new
+// flow on a reused port rather than for a retransmission.
+const reuseAfter = 60 * time.Second
+
+type action uint8
+
+const (
+	actionSend action = iota + 1
+	actionReset
+	actionDrop
+	// actionHold: the packet is kept until a peer has answered.
+	actionHold
+	// actionReplicate: as actionHold, and the exception must be sent to the successor.
+	actionReplicate
+	// actionQuery: as actionHold, and other daemons must be asked for the flow.
+	actionQuery
+)
+
+// decision is what happens to one packet.
+type decision struct {
+	action   action
+	upstream uint32
+	reason   pb.Reason
+	drop     string
+	wait     *wait
+}
+
+func sendTo(upstream uint32) decision    { return decision{action: actionSend, upstream: upstream} }
+func resetFor(reason pb.Reason) decision { return decision{action: actionReset, reason: reason} }
+func dropAs(reason string) decision      { return decision{action: actionDrop, drop: reason} }
+func endsFlow(kind pb.Kind) bool         { return kind == pb.Kind_KIND_CLOSE || kind == pb.Kind_KIND_RESET }
+
+// decide steers one packet. The caller holds p.mu.
+func (s *Steerer) decide(p *partition, h wire.Header, hash uint64, raw []byte) decision {
+	if p.released {
+		return dropAs("not_holder")
+	}
+	if len(p.waits) > 0 {
+		if w := p.waits[h.Flow]; w != nil {
+			return w.hold(raw)
+		}
+	}
+	// The view is loaded under the lock, so that a configuration change either sees a flow
+	// that is placed here or has replaced the view before.
+	v := p.service.view.Load()
+	now := s.now()
+	r, known := p.flows[h.Flow]
+	if known && h.Kind == pb.Kind_KIND_OPEN && v.replaceable(r, now.tick) {
+		s.end(p, v, h.Flow)
+		known = false
+	}
+	switch {
+	case known:
+		return s.steerKnown(p, v, h, r, now)
+	case h.Kind == pb.Kind_KIND_OPEN:
+		return s.open(p, v, h, hash, raw, now)
+	default:
+		return s.resolve(p, v, h, hash, raw, now)
+	}
+}
+
+// replaceable reports whether an OPEN on a record begins a new flow that may be placed
+// anew. A closed flow on an upstream that is draining or gone must not take new work there.
+func (v *serviceView) replaceable(r record, now uint32) bool {
+	u := v.upstreams[r.upstream]
+	return u == nil || r.idle(now) > reuseAfter ||
+		r.has(flagClosed) && (!r.has(flagEstablished) || u.draining.Load())
+}
+
+// steerKnown sends a packet of a known flow to its upstream, or resets the flow when that is
+// gone.
+func (s *Steerer) steerKnown(p *partition, v *serviceView, h wire.Header, r record, now instant) decision {
+	u := v.upstreams[r.upstream]
+	if u == nil {
+		s.end(p, v, h.Flow)
+		return resetFor(pb.Reason_REASON_UPSTREAM_REMOVED)
+	}
+	if v.drainExpired(u, now.unixMS) {
+		s.end(p, v, h.Flow)
+		return resetFor(pb.Reason_REASON_UPSTREAM_DRAINING)
+	}
+	before := r
+	r.last = now.tick
+	switch {
+	case endsFlow(h.Kind):
+		if !r.has(flagClosed) {
+			s.tellEnded(p, h.Flow, p.uncount(v, h.Flow, r))
+			r.flags = r.flags&^flagException | flagClosed
+		}
+	case h.Kind == pb.Kind_KIND_OPEN:
+		if r.has(flagClosed) {
+			s.insert(p, v, h.Flow, record{upstream: r.upstream, last: now.tick}, now)
+			return sendTo(r.upstream)
+		}
+	case !r.has(flagClosed):
+		r.flags |= flagEstablished
+	}
+	if r != before {
+		p.flows[h.Flow] = r
+	}
+	return sendTo(r.upstream)
+}
+
+// open places a new flow. The caller holds p.mu.
+func (s *Steerer) open(p *partition, v *serviceView, h wire.Header, hash uint64, raw []byte, now instant) decision {
+	placed, ok := v.place(hash, now.unixMS)
+	if !ok {
+		return resetFor(pb.Reason_REASON_NO_UPSTREAM)
+	}
+	s.opened.Add(1)
+	r := record{upstream: placed.upstream.number, last: now.tick}
+	if !placed.diverted {
+		s.insert(p, v, h.Flow, r, now)
+		return sendTo(r.upstream)
+	}
+	s.diverted.Add(1)
+	p.insert(v, h.Flow, r, now.unixMS)
+	w := s.startWait(p, h.Flow, waitAck, ackTimeout)
+	if w == nil {
+		return sendTo(s.settleUnreplicated(p, v, h.Flow, now))
+	}
+	w.hold(raw)
+	return decision{action: actionReplicate, wait: w}
+}
+
+// insert adds a record and queues it for the successor, without waiting, if it needs a
+// replica. The caller holds p.mu.
+func (s *Steerer) insert(p *partition, v *serviceView, flow wire.FlowKey, r record, now instant) {
+	if p.insert(v, flow, r, now.unixMS) {
+		s.queueBulk(p, flow)
+	}
+}
+
+// end removes a record and tells the successor if it knows the flow. The caller holds p.mu.
+func (s *Steerer) end(p *partition, v *serviceView, flow wire.FlowKey) {
+	s.tellEnded(p, flow, p.remove(v, flow))
+}
--- /dev/null
+++ b/steering/harness_test.go
@@ -0,0 +1,216 @@
+package steering
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/config"
+	"github.com/fulmarfield/fulmarfield/membership"
+	"github.com/fulmarfield/fulmarfield/ownership"
+	"github.com/fulmarfield/fulmarfield/telemetry"
+	"github.com/fulmarfield/fulmarfield/wire"
+)
+
+const testService = 7
+
+// cluster is a few Steerers with a lossy datagram network between them and one configuration.
+type cluster struct {
+	g       *WithT
+	mu      sync.Mutex
+	current *config.Snapshot
+	subs    []func(previous, current *config.Snapshot)
+	nodes   map[membership.DaemonID]*node
+	lose    func(from, to membership.DaemonID, m *pb.PeerDatagram) bool
+}
+
+type node struct {
+	*Steerer
+	cluster   *cluster
+	id        membership.DaemonID
+	successor membership.DaemonID
+	previous  []membership.DaemonID
+	sent      []uint32
+	toCaller  []*pb.Packet
+}
+
+func (c *cluster) Current() *config.Snapshot {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.current
+}
+
+func (c *cluster) Subscribe(f func(previous, current *config.Snapshot)) { c.subs = append(c.subs, f) }
+
+// declare commits a new generation of the only service and keeps the old upstream sets.
+func (c *cluster) declare(change func(s *pb.Service)) {
+	old := c.Current()
+	s := &pb.Service{Number: testService, Name: "bindery", Address: "127.2.1.1:8001"}
+	if before, ok := old.Service(testService); ok {
+		s = cloneOf(before)
+		version := &pb.TableVersion{Generation: s.TableGeneration, SinceMs: s.TableSinceMs}
+		for _, t := range activeTargets(s) {
+			version.Entries = append(version.Entries, &pb.TableEntry{Upstream: t.upstream, Weight: t.weight})
+		}
+		s.Previous = append([]*pb.TableVersion{version}, s.Previous...)
+	}
+	s.TableGeneration, s.TableSinceMs = old.Generation()+1, time.Now().UnixMilli()
+	change(s)
+	next := config.NewSnapshot(&pb.Configuration{Generation: old.Generation() + 1, Services: []*pb.Service{s}})
+	c.mu.Lock()
+	c.current = next
+	c.mu.Unlock()
+	for _, f := range c.subs {
+		f(old, next)
+	}
+}
+
+func (n *node) Route(ownership.Resource) (membership.DaemonID, bool, bool) { return n.id, true, true }
+func (n *node) Successor(ownership.Resource) (membership.DaemonID, bool) {
+	return n.successor, n.successor != ""
+}
+func (n *node) PreviousHolders(ownership.Resource) []membership.DaemonID { return n.previous }
+
+func (n *node) Send(to membership.DaemonID, m *pb.PeerDatagram) error {
+	if lose := n.cluster.lose; lose != nil && lose(n.id, to, m) {
+		return nil
+	}
+	time.AfterFunc(500*time.Microsecond, func() {
+		if target := n.cluster.nodes[to]; target != nil {
+			target.HandlePeer(n.id, m)
+		}
+	})
+	return nil
+}
+
+func (n *node) ToAdmission(service, upstream uint32, raw []byte) {
+	h, err := wire.ParseHeader(raw)
+	n.cluster.g.Expect(err).NotTo(HaveOccurred())
+	n.cluster.g.Expect([]uint32{h.Service, h.Upstream}).To(Equal([]uint32{service, upstream}))
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	n.sent = append(n.sent, upstream)
+}
+
+func (n *node) ToCaller(p *pb.Packet) {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	n.toCaller = append(n.toCaller, p)
+}
+
+// take returns and forgets what the node passed on.
+func (n *node) take() ([]uint32, []*pb.Packet) {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	sent, toCaller := n.sent, n.toCaller
+	n.sent, n.toCaller = nil, nil
+	return sent, toCaller
+}
+
+// inCluster runs f in virtual time with nodes "a" (active for every partition), "b" (its
+// successor) and "c", and a service of the given upstreams 1 to n.
+func inCluster(t *testing.T, upstreams int, f func(g *WithT, c *cluster, a, b *node)) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := &cluster{g: g, current: config.NewSnapshot(&pb.Configuration{}), nodes: map[membership.DaemonID]*node{}}
+		c.declare(func(s *pb.Service) {
+			for i := range upstreams {
+				s.Upstreams = append(s.Upstreams, testUpstream(uint32(i+1)))
+			}
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		for _, id := range []membership.DaemonID{"a", "b", "c"} {
+			n := &node{cluster: c, id: id}
+			n.Steerer = New(Options{Config: c, Router: n, Sender: n, Output: n,
+				Counters: telemetry.NewCounters(), Logger: zerolog.Nop()})
+			c.nodes[id] = n
+			go func() { _ = n.Run(ctx) }()
+		}
+		a, b := c.nodes["a"], c.nodes["b"]
+		a.successor, b.successor = "b", "c"
+		a.activate(nil, ownership.Fresh)
+		f(g, c, a, b)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func (n *node) activate(records []*pb.ResourceRecords, p ownership.Provenance) {
+	for i := range uint32(ownership.PartitionCount) {
+		r := ownership.Resource{Kind: pb.ResourceKind_RESOURCE_KIND_FLOW_PARTITION, Service: testService, Index: i}
+		var of *pb.ResourceRecords
+		if records != nil {
+			of = records[i]
+		}
+		n.Activate(r, of, p)
+	}
+}
+
+func (n *node) release() (records []*pb.ResourceRecords) {
+	for i := range uint32(ownership.PartitionCount) {
+		r := ownership.Resource{Kind: pb.ResourceKind_RESOURCE_KIND_FLOW_PARTITION, Service: testService, Index: i}
+		records = append(records, n.Release(r))
+	}
+	return records
+}
+
+// packet hands the node one packet of flow number i and returns where it went after d.
+func (n *node) packet(i int, kind pb.Kind, d time.Duration) (upstream uint32, reason pb.Reason) {
+	k := flowNumber(i)
+	raw, err := wire.EncodePacket(&pb.Packet{Flow: k.Proto(), Kind: kind})
+	n.cluster.g.Expect(err).NotTo(HaveOccurred())
+	n.take()
+	n.HandleCaller(wire.Header{Flow: k, Kind: kind}, raw)
+	if d > 0 {
+		time.Sleep(d)
+	}
+	synctest.Wait()
+	sent, toCaller := n.take()
+	for _, u := range sent {
+		upstream = u
+	}
+	for _, p := range toCaller {
+		if p.Kind == pb.Kind_KIND_RESET && wire.FlowKeyFromProto(p.Flow) == k {
+			reason = p.Reason
+		}
+	}
+	return upstream, reason
+}
+
+func flowNumber(i int) wire.FlowKey {
+	return wire.FlowKey{CallerIP: 0x7f090000 + uint32(i>>15), CallerPort: uint16(i&0x7fff) + 1024,
+		ServiceIP: 0x7f020101, ServicePort: 8001}
+}
+
+func testUpstream(number uint32) *pb.Upstream {
+	return &pb.Upstream{Number: number, Name: fmt.Sprintf("u%d", number), Slots: 2, Weight: 1,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 3, byte(number >> 8), byte(number)}), 9000).String()}
+}
+
+func drain(number uint32) func(s *pb.Service) {
+	return func(s *pb.Service) {
+		for _, u := range s.Upstreams {
+			if u.Number == number {
+				u.State, u.DrainingSinceMs = pb.DeclaredState_DECLARED_STATE_DRAINING, time.Now().UnixMilli()
+			}
+		}
+	}
+}
+
+func removeUpstream(number uint32) func(s *pb.Service) {
+	return func(s *pb.Service) {
+		s.Upstreams = slices.DeleteFunc(s.Upstreams, func(u *pb.Upstream) bool { return u.Number == number })
+	}
+}
+
+func cloneOf(s *pb.Service) *pb.Service { return proto.Clone(s).(*pb.Service) }
--- /dev/null
+++ b/steering/replicate.go
@@ -0,0 +1,146 @@
+package steering
+
+import (
+	"time"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/membership"
+	"github.com/fulmarfield/fulmarfield/wire"
+)
+
+// maxEndedTries bounds the transmissions of the end of a flow: a replica that stays expires by
+// itself.
+const maxEndedTries = 8
+
+// replicateNow sends a diverted flow that waits for its successor's acknowledgement. Without
+// any successor the flow goes on at once. It is called without a lock.
+func (s *Steerer) replicateNow(p *partition, flow wire.FlowKey) {
+	successor, ok := s.Router.Successor(p.resource)
+	p.mu.Lock()
+	w := p.waits[flow]
+	if p.released || w == nil {
+		p.mu.Unlock()
+		return
+	}
+	if !ok {
+		packets := w.finish()
+		p.mu.Unlock()
+		s.Counters.Count("exception.no_successor")
+		s.replay(packets)
+		return
+	}
+	s.setSuccessor(p, successor)
+	p.exceptions[flow] = exception{queued: true}
+	s.replicator.addUrgent(successor, item{p, flow})
+	p.mu.Unlock()
+	s.wake()
+}
+
+// setSuccessor notes the successor of a partition and queues all its exceptions when it has
+// changed. The caller holds p.mu.
+func (s *Steerer) setSuccessor(p *partition, successor membership.DaemonID) {
+	if p.successor == successor {
+		return
+	}
+	p.successor = successor
+	flows := make([]wire.FlowKey, 0, len(p.exceptions))
+	for flow := range p.exceptions {
+		p.exceptions[flow] = exception{}
+		flows = append(flows, flow)
+	}
+	s.queueNewestFirst(p, flows)
+}
+
+// queueBulk queues an exception at the bulk rate. Without a successor it is queued when there
+// is one. The caller holds p.mu.
+func (s *Steerer) queueBulk(p *partition, flow wire.FlowKey) {
+	e, ok := p.exceptions[flow]
+	if !ok || e.queued || p.successor == "" {
+		return
+	}
+	e.queued = true
+	p.exceptions[flow] = e
+	s.replicator.addBulk(p.successor, item{p, flow})
+	s.wake()
+}
+
+// tellEnded queues the end of an exception that the successor knows. The caller holds p.mu.
+func (s *Steerer) tellEnded(p *partition, flow wire.FlowKey, tell bool) {
+	if tell && p.successor != "" {
+		s.replicator.addEnded(p.successor, item{p, flow})
+		s.wake()
+	}
+}
+
+// acknowledged notes that the successor has an exception, and passes on what waited for it.
+func (s *Steerer) acknowledged(to membership.DaemonID, i sentItem) {
+	p := i.partition
+	p.mu.Lock()
+	w := p.waits[i.flow]
+	if p.released || w == nil || w.kind != waitAck || p.successor != to || p.flows[i.flow].upstream != i.upstream {
+		p.mu.Unlock()
+		return
+	}
+	packets := w.finish()
+	p.mu.Unlock()
+	s.replay(packets)
+}
+
+// replicate sends what is due. Only Run calls it, so that batch numbers order what is said of
+// a flow.
+func (s *Steerer) replicate(now time.Time) {
+	for _, d := range s.replicator.due(now) {
+		b := &batch{to: d.to, urgent: d.urgent, ended: d.ended}
+		for _, i := range d.items {
+			b.items = append(b.items, sentItem{item: i})
+		}
+		s.transmitBatch(b, now)
+	}
+	for _, b := range s.replicator.dueRetries(now) {
+		s.Counters.Count("exception.retransmitted")
+		s.transmitBatch(b, now)
+	}
+}
+
+// transmitBatch sends what is still true of a batch.
+func (s *Steerer) transmitBatch(b *batch, now time.Time) {
+	message := &pb.ExceptionBatch{}
+	tick := s.now().tick
+	next := &batch{to: b.to, urgent: b.urgent, ids: b.ids, tries: b.tries}
+	for _, i := range b.items {
+		m := i.partition.exceptionRecord(b.to, i.flow, tick)
+		// A flow that was placed anew since the first transmission has been queued again.
+		if m != nil && (i.upstream == 0 || i.upstream == m.GetUpstream()) {
+			message.Records = append(message.Records, m)
+			next.items = append(next.items, sentItem{i.item, m.GetUpstream()})
+		}
+	}
+	for _, i := range b.ended {
+		// A new flow with the same key may be an exception again.
+		if b.tries < maxEndedTries && i.partition.exceptionRecord(b.to, i.flow, tick) == nil {
+			message.Ended = append(message.Ended, i.flow.Proto())
+			next.ended = append(next.ended, i)
+		}
+	}
+	if len(next.items) == 0 && len(next.ended) == 0 {
+		s.replicator.finish(b)
+		return
+	}
+	message.Batch = s.replicator.register(next, now)
+	s.Counters.Count("exception.batches")
+	s.transmit(b.to, &pb.PeerDatagram{Body: &pb.PeerDatagram_ExceptionBatch{ExceptionBatch: message}})
+}
+
+// exceptionRecord returns the message form of an exception that goes to the given successor,
+// nil if the flow is none. It marks the exception as sent.
+func (p *partition) exceptionRecord(to membership.DaemonID, flow wire.FlowKey, tick uint32) *pb.FlowRecord {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, ok := p.exceptions[flow]; !ok || p.released || p.successor != to {
+		return nil
+	}
+	p.exceptions[flow] = exception{sent: tick}
+	m := p.flows[flow].flowRecord(flow, tick)
+	m.Service = p.service.number
+	return m
+}
--- /dev/null
+++ b/steering/replicator.go
@@ -0,0 +1,249 @@
+package steering
+
+import (
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/fulmarfield/fulmarfield/membership"
+	"github.com/fulmarfield/fulmarfield/wire"
+)
+
+const (
+	// batchDelay is how long a diverted OPEN waits for others to share its datagram. Half of
+	// the 20 ms allowed leaves time for two retransmissions within ackTimeout.
+	batchDelay = 10 * time.Millisecond
+	// bulkBytesPerSecond bounds what is sent at table changes and refreshes.
+	bulkBytesPerSecond = 1024
+	// batchBytes is the size of a full batch; recordBytes and keyBytes are upper estimates of
+	// the size of a record and of an ended flow in it.
+	batchBytes  = 1200
+	recordBytes = 42
+	keyBytes    = 22
+	// firstRetry is doubled at each retransmission up to lastRetry.
+	firstRetry = 15 * time.Millisecond
+	lastRetry  = time.Second
+	// maxBulkInFlight bounds the unacknowledged bulk batches to one successor.
+	maxBulkInFlight = 4
+)
+
+// item names a flow of a partition. Its record is looked up when the batch is built, so that
+// a batch never carries an outdated upstream.
+type item struct {
+	partition *partition
+	flow      wire.FlowKey
+}
+
+type sentItem struct {
+	item
+	upstream uint32
+}
+
+// batch is a sent batch that is not acknowledged.
+type batch struct {
+	to     membership.DaemonID
+	items  []sentItem
+	ended  []item
+	ids    []uint64
+	next   time.Time
+	tries  int
+	urgent bool
+}
+
+// outbox holds what one successor has to be told.
+type outbox struct {
+	urgent      []item
+	urgentSince time.Time
+	bulk        []item
+	ended       []item
+	inFlight    int
+}
+
+// replicator holds the outboxes and the batches in flight. Only Run sends.
+type replicator struct {
+	mu       sync.Mutex
+	outboxes map[membership.DaemonID]*outbox
+	inFlight map[uint64]*batch
+	last     uint64
+	bulk     *rate.Limiter
+}
+
+func newReplicator(now time.Time) *replicator {
+	return &replicator{
+		outboxes: map[membership.DaemonID]*outbox{},
+		inFlight: map[uint64]*batch{},
+		// Batch numbers rise across restarts.
+		last: uint64(now.UnixMicro()),
+		bulk: rate.NewLimiter(bulkBytesPerSecond, batchBytes),
+	}
+}
+
+// outbox returns the outbox of a daemon. The caller holds r.mu.
+func (r *replicator) outbox(to membership.DaemonID) *outbox {
+	if r.outboxes[to] == nil {
+		r.outboxes[to] = &outbox{}
+	}
+	return r.outboxes[to]
+}
+
+func (r *replicator) addUrgent(to membership.DaemonID, i item) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o := r.outbox(to)
+	if len(o.urgent) == 0 {
+		o.urgentSince = time.Now()
+	}
+	o.urgent = append(o.urgent, i)
+}
+
+func (r *replicator) addBulk(to membership.DaemonID, i item) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o := r.outbox(to)
+	o.bulk = append(o.bulk, i)
+}
+
+func (r *replicator) addEnded(to membership.DaemonID, i item) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o := r.outbox(to)
+	o.ended = append(o.ended, i)
+}
+
+// draft is the content of a batch before the records are looked up.
+type draft struct {
+	to     membership.DaemonID
+	items  []item
+	ended  []item
+	urgent bool
+}
+
+// due takes what may be sent now out of the outboxes.
+func (r *replicator) due(now time.Time) []draft {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var drafts []draft
+	for to, o := range r.outboxes {
+		full := batchBytes / recordBytes
+		for len(o.urgent) >= full || len(o.urgent) > 0 && now.Sub(o.urgentSince) >= batchDelay {
+			n := min(len(o.urgent), full)
+			drafts = append(drafts, draft{to: to, items: o.urgent[:n:n], urgent: true})
+			o.urgent = o.urgent[n:]
+		}
+		for (len(o.bulk) > 0 || len(o.ended) > 0) && o.inFlight < maxBulkInFlight {
+			d, bytes := o.bulkDraft(to)
+			if !r.bulk.AllowN(now, bytes) {
+				break
+			}
+			o.bulk = o.bulk[:len(o.bulk)-len(d.items)]
+			o.ended = o.ended[len(d.ended):]
+			o.inFlight++
+			drafts = append(drafts, d)
+		}
+		if len(o.urgent) == 0 && len(o.bulk) == 0 && len(o.ended) == 0 && o.inFlight == 0 {
+			delete(r.outboxes, to)
+		}
+	}
+	return drafts
+}
+
+// bulkDraft returns the next bulk batch, the newest exceptions first, and its estimated size.
+// Ends of flows take at most a third.
+func (o *outbox) bulkDraft(to membership.DaemonID) (draft, int) {
+	ended := min(len(o.ended), batchBytes/3/keyBytes)
+	items := min(len(o.bulk), (batchBytes-ended*keyBytes)/recordBytes)
+	d := draft{to: to, ended: o.ended[:ended:ended]}
+	for i := range items {
+		d.items = append(d.items, o.bulk[len(o.bulk)-1-i])
+	}
+	return d, ended*keyBytes + items*recordBytes
+}
+
+// dueRetries takes the batches whose retransmission is due. A bulk batch also needs its share
+// of the bulk rate.
+func (r *replicator) dueRetries(now time.Time) []*batch {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var found []*batch
+	for id, b := range r.inFlight {
+		if id != b.ids[len(b.ids)-1] || now.Before(b.next) {
+			continue
+		}
+		bytes := len(b.items)*recordBytes + len(b.ended)*keyBytes
+		if b.urgent && b.tries < 3 || r.bulk.AllowN(now, bytes) {
+			found = append(found, b)
+		}
+	}
+	return found
+}
+
+// register numbers a transmission of a batch. Acknowledgements of earlier ones still count.
+func (r *replicator) register(b *batch, now time.Time) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.last++
+	b.ids = append(b.ids, r.last)
+	b.next = now.Add(min(firstRetry<<min(b.tries, 10), lastRetry))
+	b.tries++
+	for _, id := range b.ids {
+		r.inFlight[id] = b
+	}
+	return r.last
+}
+
+// finish takes a batch out of flight.
+func (r *replicator) finish(b *batch) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.forget(b)
+}
+
+func (r *replicator) forget(b *batch) {
+	for _, id := range b.ids {
+		delete(r.inFlight, id)
+	}
+	if !b.urgent {
+		if o := r.outboxes[b.to]; o != nil && o.inFlight > 0 {
+			o.inFlight--
+		}
+	}
+}
+
+// acknowledged takes an acknowledgement and returns its batch, nil if it is not in flight.
+func (r *replicator) acknowledged(from membership.DaemonID, id uint64) *batch {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := r.inFlight[id]
+	if b == nil || b.to != from {
+		return nil
+	}
+	r.forget(b)
+	return b
+}
+
+// Intervals at which Run looks at the replicator.
+const (
+	urgentInterval = 5 * time.Millisecond
+	bulkInterval   = 50 * time.Millisecond
+)
+
+// next returns when to look again, 0 when nothing is queued or in flight.
+func (r *replicator) next() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	interval := time.Duration(0)
+	for _, o := range r.outboxes {
+		if len(o.urgent) > 0 {
+			return urgentInterval
+		}
+		interval = bulkInterval
+	}
+	for _, b := range r.inFlight {
+		if b.urgent {
+			return urgentInterval
+		}
+		interval = bulkInterval
+	}
+	return interval
+}
--- /dev/null
+++ b/steering/service.go
@@ -0,0 +1,101 @@
+package steering
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/ownership"
+)
+
+const (
+	defaultIdleLimit = 10 * time.Minute
+	// Bounded-load factors in percent of the mean by the service's aim.
+	boundConnectionsPercent = 125
+	boundBalancePercent     = 105
+)
+
+// service is the state of one service of which this daemon holds or has held partitions.
+type service struct {
+	number     uint32
+	view       atomic.Pointer[serviceView]
+	partitions [ownership.PartitionCount]atomic.Pointer[partition]
+	// changes serializes replacements of view.
+	changes sync.Mutex
+}
+
+// serviceView is the immutable form of a service at one generation.
+type serviceView struct {
+	generation uint64
+	declared   *pb.Service
+	table      *table
+	upstreams  map[uint32]*upstream
+	active     []*upstream
+	idleLimit  time.Duration
+	// drainLimit is 0 when flows on a draining upstream are never reset.
+	drainLimit   time.Duration
+	boundPercent int64
+}
+
+// upstream is the state of one upstream. It lives across generations.
+type upstream struct {
+	number uint32
+	// flows counts the open flows of this owner on the upstream.
+	flows    atomic.Int64
+	weight   atomic.Int64
+	draining atomic.Bool
+	// drainingSinceMS is the Unix time of the commit that began the drain.
+	drainingSinceMS atomic.Int64
+	// notice is the state by the last UpstreamNotice, and noticedAt its Unix milliseconds.
+	notice    atomic.Int32
+	noticedAt atomic.Int64
+	token     atomic.Uint64
+}
+
+// newServiceView builds the view of a declared service after old, which may be nil. A nil
+// service gives an empty view, in which no upstream exists.
+func newServiceView(generation uint64, s *pb.Service, old *serviceView) *serviceView {
+	v := &serviceView{generation: generation, declared: s, upstreams: map[uint32]*upstream{}, idleLimit: defaultIdleLimit}
+	var oldTable *table
+	if old != nil {
+		oldTable = old.table
+	}
+	v.table = newTable(s, oldTable)
+	limits := s.GetLimits()
+	if ms := limits.GetIdleLimitMs(); ms > 0 {
+		v.idleLimit = time.Duration(ms) * time.Millisecond
+	}
+	v.drainLimit = time.Duration(limits.GetDrainLimitMs()) * time.Millisecond
+	v.boundPercent = boundPercent(s)
+	for _, declared := range s.GetUpstreams() {
+		u := &upstream{number: declared.GetNumber()}
+		if old != nil && old.upstreams[u.number] != nil {
+			u = old.upstreams[u.number]
+		}
+		u.weight.Store(int64(max(1, declared.GetWeight())))
+		u.draining.Store(declared.GetState() == pb.DeclaredState_DECLARED_STATE_DRAINING)
+		u.drainingSinceMS.Store(declared.GetDrainingSinceMs())
+		v.upstreams[u.number] = u
+		if !u.draining.Load() {
+			v.active = append(v.active, u)
+		}
+	}
+	return v
+}
+
+func boundPercent(s *pb.Service) int64 {
+	if p := s.GetLimits().GetLoadBoundPercent(); p > 100 {
+		return int64(p)
+	}
+	if s.GetAim() == pb.Aim_AIM_BALANCE {
+		return boundBalancePercent
+	}
+	return boundConnectionsPercent
+}
+
+// drainExpired reports whether flows on u must end because its drain limit has passed.
+func (v *serviceView) drainExpired(u *upstream, nowMS int64) bool {
+	return v.drainLimit > 0 && u.draining.Load() &&
+		nowMS-u.drainingSinceMS.Load() >= v.drainLimit.Milliseconds()
+}
