Admit requests behind an at-most-once guard

Change: package request holds exact slots, queue, guard, retries, answers, half-open probes and the moves of an admission; package load follows the state of an upstream. Guard tokens begin with the time in ms, and callers keep the larger one: with unordered tokens the late answers of a paused holder that woke took callers back to its token, and the next request ended as outcome unknown (TestPausedHolder failed so). Request ids start at the clock's microseconds, so a port that is used again meets no records of its former flow. Conclusion: the guard tests pass under the race detector in virtual time.

--- a/caller/flow.go
+++ b/caller/flow.go
@@ -29,8 +29,10 @@
 	reason   pb.Reason
 	token    uint64
 	upstream uint32
-	lastID   uint64
-	pending  map[uint64]*pending
+	// lastID starts at the clock's microseconds, so that ids also rise over flows that use the
+	// same port one after another and no guard takes a new request for an old one.
+	lastID  uint64
+	pending map[uint64]*pending
 }
 
 func newFlow(o Options, key wire.FlowKey) *Flow {
@@ -40,6 +42,7 @@
 		opened:  make(chan struct{}),
 		ended:   make(chan struct{}),
 		pending: map[uint64]*pending{},
+		lastID:  uint64(time.Now().UnixMicro()),
 	}
 }
 
@@ -163,6 +166,7 @@
 		f.handleOpened(p)
 	case pb.Kind_KIND_TOKEN:
 		f.learn(p)
+		f.renew()
 	case pb.Kind_KIND_ANSWER:
 		f.learn(p)
 		f.handleAnswer(p)
@@ -177,11 +181,14 @@
 	}
 }
 
-// learn takes over the guard token and upstream that a packet of the service carries.
+// learn takes over the guard token and upstream that a packet of the service carries. Later
+// tokens are larger: a smaller one comes from a former holder, unless the packet says that the
+// token in use is stale, as it does when the clock of the new holder is behind.
 func (f *Flow) learn(p *pb.Packet) {
+	isCurrent := p.GetKind() == pb.Kind_KIND_TOKEN || p.GetReason() == pb.Reason_REASON_STALE_GUARD
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if p.GetGuardToken() != 0 {
+	if p.GetGuardToken() > f.token || (isCurrent && p.GetGuardToken() != 0) {
 		f.token = p.GetGuardToken()
 	}
 	if p.GetUpstream() != 0 {
--- a/caller/request.go
+++ b/caller/request.go
@@ -43,8 +43,11 @@
 
 // pending is a request that waits for its answer.
 type pending struct {
-	answer chan Answer
-	gather gather
+	answer     chan Answer
+	idempotent bool
+	// renewed wakes an idempotent request when the guard token has changed.
+	renewed chan struct{}
+	gather  gather
 }
 
 // Request sends a request and retransmits it until it is answered or its deadline passes. It
@@ -68,6 +71,9 @@
 		if left := time.Until(end); left > 0 {
 			p.Attempt++
 			p.DeadlineMs = uint32(max(left.Milliseconds(), 1))
+			if r.Idempotent {
+				p.GuardToken = f.currentToken()
+			}
 			if err := f.send(p); err != nil {
 				return Answer{Status: pb.Status_STATUS_NOT_RUN}, err
 			}
@@ -89,6 +95,8 @@
 			timer.Stop()
 			f.cancel(p.GetRequestId())
 			return lost(p, pb.Reason_REASON_CANCELLED), fmt.Errorf("request cancelled: %w", ctx.Err())
+		case <-waiting.renewed:
+			timer.Stop()
 		case <-timer.C:
 		}
 	}
@@ -100,12 +108,12 @@
 }
 
 // register gives the request its id and, if it may run only once, the guard token that it
-// keeps on every transmission.
+// keeps on every transmission. An idempotent one carries the token known at each transmission.
 func (f *Flow) register(r Request) (*pb.Packet, *pending) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lastID++
-	w := &pending{answer: make(chan Answer, 1)}
+	w := &pending{answer: make(chan Answer, 1), idempotent: r.Idempotent, renewed: make(chan struct{}, 1)}
 	f.pending[f.lastID] = w
 	p := &pb.Packet{
 		Kind:       pb.Kind_KIND_REQUEST,
@@ -119,6 +127,28 @@
 	return p, w
 }
 
+func (f *Flow) currentToken() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.token
+}
+
+// renew lets idempotent requests go again at once with a changed token; the holder that sent it
+// has not taken the earlier transmission.
+func (f *Flow) renew() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, w := range f.pending {
+		if !w.idempotent {
+			continue
+		}
+		select {
+		case w.renewed <- struct{}{}:
+		default:
+		}
+	}
+}
+
 func (f *Flow) forget(id uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- /dev/null
+++ b/load/tracker.go
@@ -0,0 +1,200 @@
+package load
+
+import (
+	"math"
+	"time"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+)
+
+const (
+	// coldShare is the share of slots that a cold upstream starts with.
+	coldShare = 0.25
+	// coldTime is the time until a cold upstream has all its slots.
+	coldTime = 10 * time.Second
+	// silenceLimit is above the 3 s after which a flow is probed, so that one probe has
+	// had time to be answered.
+	silenceLimit = 4 * time.Second
+	// reportLife bounds how long a report above the own count holds slots. Without it a
+	// frozen report would starve an upstream that sends nothing because it gets nothing.
+	reportLife = time.Second
+	// sheddingHold is the time without refusals after which an upstream that got no work
+	// counts as recovered; without work it cannot prove it.
+	sheddingHold = 5 * time.Second
+	// sheddingMin keeps the state from changing at each refusal.
+	sheddingMin = time.Second
+
+	firstBackoff = 100 * time.Millisecond
+	maxBackoff   = 5 * time.Second
+	// ewmaWeight gives the last ten service times most of the weight.
+	ewmaWeight = 0.2
+)
+
+// Tracker follows one upstream from its admission. It has no lock: the admission's lock
+// protects it.
+type Tracker struct {
+	slots      int
+	inProgress int
+	declared   bool // draining by the configuration
+	service    time.Duration
+
+	heard   time.Time
+	waiting time.Time // since when work waits without a packet from the upstream
+	silent  bool
+
+	cold      bool
+	coldSince time.Time
+
+	shedding    bool
+	refusals    int
+	lastRefusal time.Time
+	heldUntil   time.Time
+
+	report   *pb.LoadReport
+	reported time.Time
+	foreign  int // work that a report shows beyond the own count
+}
+
+// NewTracker returns a tracker for an upstream with the given number of slots.
+func NewTracker(slots int) *Tracker { return &Tracker{slots: max(slots, 1)} }
+
+// Declare takes over slots and drain from the configuration.
+func (t *Tracker) Declare(slots int, draining bool) {
+	t.slots, t.declared = max(slots, 1), draining
+}
+
+// Started counts a request sent to the upstream.
+func (t *Tracker) Started(now time.Time) {
+	if t.inProgress == 0 {
+		t.waiting = now
+	}
+	t.inProgress++
+}
+
+// Finished counts an answered request and measures its service time.
+func (t *Tracker) Finished(now time.Time, took time.Duration) {
+	t.Abandoned()
+	if t.service == 0 {
+		t.service = took
+	} else {
+		t.service += time.Duration(ewmaWeight * float64(took-t.service))
+	}
+	t.refusals = 0
+	if t.shedding && now.Sub(t.lastRefusal) >= sheddingMin {
+		t.shedding = false
+	}
+}
+
+// Abandoned frees the slot of a request that ended without an answer.
+func (t *Tracker) Abandoned() { t.inProgress = max(t.inProgress-1, 0) }
+
+// Heard notes a packet from the upstream. One that was silent starts cold.
+func (t *Tracker) Heard(now time.Time) {
+	t.heard, t.waiting = now, now
+	if t.silent {
+		t.silent = false
+		t.warmUp(now)
+	}
+}
+
+// Report takes over a load report. It must be called before the request that the report came
+// with is counted as finished.
+func (t *Tracker) Report(now time.Time, r *pb.LoadReport) {
+	if r == nil {
+		return
+	}
+	if r.GetCold() && (t.report == nil || !t.report.GetCold()) {
+		t.warmUp(now)
+	}
+	t.report, t.reported = r, now
+	t.foreign = max(min(int(r.GetInProgress()), t.slots)-t.inProgress, 0)
+}
+
+// Refused holds the upstream back after it refused a request before starting it. Jitter is
+// in [0,1) and spreads the back-off from half to one and a half of its mean.
+func (t *Tracker) Refused(now time.Time, jitter float64) {
+	t.Abandoned()
+	t.shedding, t.lastRefusal = true, now
+	wait := min(firstBackoff<<min(t.refusals, 6), maxBackoff)
+	t.refusals++
+	t.heldUntil = now.Add(time.Duration(float64(wait) * (0.5 + jitter)))
+}
+
+func (t *Tracker) warmUp(now time.Time) { t.cold, t.coldSince = true, now }
+
+// settle lets states end that end by time, and detects silence.
+func (t *Tracker) settle(now time.Time) {
+	if t.inProgress > 0 && !t.silent && now.Sub(t.waiting) > silenceLimit {
+		t.silent = true
+	}
+	if t.cold && now.Sub(t.coldSince) >= coldTime {
+		t.cold = false
+	}
+	if t.shedding && now.Sub(t.lastRefusal) >= sheddingHold {
+		t.shedding, t.refusals = false, 0
+	}
+}
+
+// State returns the state that flow owners act on.
+func (t *Tracker) State(now time.Time) pb.UpstreamState {
+	t.settle(now)
+	switch {
+	case t.declared, t.report.GetDraining():
+		return pb.UpstreamState_UPSTREAM_STATE_DRAINING
+	case t.silent:
+		return pb.UpstreamState_UPSTREAM_STATE_SILENT
+	case t.shedding, t.report.GetShedding() && now.Sub(t.reported) < sheddingHold:
+		return pb.UpstreamState_UPSTREAM_STATE_SHEDDING
+	case t.cold:
+		return pb.UpstreamState_UPSTREAM_STATE_COLD
+	}
+	return pb.UpstreamState_UPSTREAM_STATE_OK
+}
+
+// Usable returns the number of slots that may be in use at once: none during a back-off, one
+// while the upstream is silent or has yet to prove that it takes work again, and the slow
+// start's share while it is cold.
+func (t *Tracker) Usable(now time.Time) int {
+	t.settle(now)
+	switch {
+	case now.Before(t.heldUntil):
+		return 0
+	case t.silent, t.refusals > 0:
+		return 1
+	case t.cold:
+		share := coldShare + (1-coldShare)*float64(now.Sub(t.coldSince))/float64(coldTime)
+		return max(int(math.Ceil(share*float64(t.slots)-1e-9)), 1)
+	}
+	return t.slots
+}
+
+// Free returns the number of requests that may be sent now. A report above the own count is
+// believed up to the slots, but never holds back the first request.
+func (t *Tracker) Free(now time.Time) int {
+	usable := t.Usable(now)
+	used := t.inProgress
+	if t.inProgress > 0 && now.Sub(t.reported) < reportLife {
+		used += t.foreign
+	}
+	return max(usable-used, 0)
+}
+
+// ExpectedWait returns how long a request waits behind queued others; 0 until a service time
+// was measured.
+func (t *Tracker) ExpectedWait(now time.Time, queued int) time.Duration {
+	usable := t.Usable(now)
+	held := max(t.heldUntil.Sub(now), 0)
+	if queued < usable-t.inProgress {
+		return held
+	}
+	return held + t.service*time.Duration(queued+1)/time.Duration(max(usable, 1))
+}
+
+// ServiceTime returns the moving average of the service time, 0 when none was measured.
+func (t *Tracker) ServiceTime() time.Duration { return t.service }
+
+// InProgress returns the requests sent and not ended.
+func (t *Tracker) InProgress() int { return t.inProgress }
+
+// LastReport returns the last report, nil if there was none.
+func (t *Tracker) LastReport() *pb.LoadReport { return t.report }
--- /dev/null
+++ b/request/retry.go
@@ -0,0 +1,119 @@
+package request
+
+import (
+	"time"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/load"
+)
+
+// refused handles an upstream's refusal of a request before it started.
+func (a *admission) refused(t target, r *record, p *pb.Packet, now time.Time) {
+	wasHere := r.state == running
+	delete(a.busy, r.key)
+	r.slot = false
+	a.tracker.Refused(now, a.engine.jitter())
+	reason := p.GetReason()
+	if reason == pb.Reason_REASON_UNSPECIFIED {
+		reason = pb.Reason_REASON_UPSTREAM_SHED
+	}
+	switch {
+	case !wasHere:
+		// A former holder sent the request and may have sent it again since.
+		a.finish(r, pb.Status_STATUS_OUTCOME_UNKNOWN, reason)
+	case !a.active:
+		a.finish(r, pb.Status_STATUS_NOT_RUN, reason)
+	case a.spill(t, r, reason, now):
+	case !a.isInTime(r, now):
+		a.finish(r, pb.Status_STATUS_NOT_RUN, pb.Reason_REASON_DEADLINE)
+	case !a.takeRetry():
+		a.finish(r, pb.Status_STATUS_NOT_RUN, pb.Reason_REASON_RETRY_BUDGET)
+	default:
+		a.counters().Retry(reason)
+		r.state = queued
+		r.parts = gather{}
+		a.queue = append([]*record{r}, a.queue...)
+	}
+}
+
+func (a *admission) takeRetry() bool {
+	return a.engine.options.Tuning.NoRetryBudget || a.engine.budgetOf(a.resource.Service).take()
+}
+
+// spillIfShorter hands a request on if another upstream's queue is clearly shorter: less than
+// half of the wait here, and shorter by more than a service time.
+func (a *admission) spillIfShorter(t target, r *record, wait time.Duration, now time.Time) bool {
+	if !r.idempotent || r.spilled {
+		return false
+	}
+	other, otherWait := a.shortest(t)
+	if other.upstream == nil || 2*otherWait >= wait || wait-otherWait <= a.tracker.ServiceTime() {
+		return false
+	}
+	return a.moveTo(other, r, pb.Reason_REASON_QUEUE_FULL, now)
+}
+
+// spill hands a refused request on, once, if its deadline allows.
+func (a *admission) spill(t target, r *record, reason pb.Reason, now time.Time) bool {
+	if !r.idempotent || r.spilled || r.runs > 1 {
+		return false
+	}
+	other, wait := a.shortest(t)
+	if other.upstream == nil || !a.isInTime(r, now.Add(wait)) {
+		return false
+	}
+	return a.moveTo(other, r, reason, now)
+}
+
+type candidate struct {
+	upstream *pb.Upstream
+	known    load.Known
+}
+
+// shortest returns the other usable upstream of the service with the shortest expected wait.
+func (a *admission) shortest(t target) (best candidate, wait time.Duration) {
+	for _, u := range t.service.GetUpstreams() {
+		if u.GetNumber() == a.resource.Index || isDraining(u) {
+			continue
+		}
+		k, ok := a.engine.options.Load.Known(u.GetNumber())
+		if !ok || k.Token == 0 || k.State != pb.UpstreamState_UPSTREAM_STATE_OK {
+			continue
+		}
+		w := k.ExpectedWait(int(u.GetSlots()), a.tracker.ServiceTime())
+		if best.upstream == nil || w < wait {
+			best, wait = candidate{upstream: u, known: k}, w
+		}
+	}
+	return best, wait
+}
+
+// moveTo hands a request to another admission. The record stays, so that retransmissions
+// follow it and this admission never runs it. The token of the other admission is fixed here:
+// if that one is lost, its successor does not run a request that it may have refused.
+func (a *admission) moveTo(c candidate, r *record, reason pb.Reason, now time.Time) bool {
+	if !a.takeRetry() {
+		a.counters().Refusal(pb.Reason_REASON_RETRY_BUDGET)
+		return false
+	}
+	a.counters().Retry(reason)
+	r.state, r.ended = moved, now
+	a.guard.ended = append(a.guard.ended, r)
+	r.forward = &pb.Packet{
+		Flow:       r.packet.GetFlow(),
+		Kind:       pb.Kind_KIND_REQUEST,
+		RequestId:  r.key.id,
+		Attempt:    r.attempt + 1,
+		Idempotent: true,
+		DeadlineMs: milliseconds(r.deadline.Sub(now)),
+		GuardToken: c.known.Token,
+		Service:    a.resource.Service,
+		Upstream:   c.upstream.GetNumber(),
+		Status:     pb.Status_STATUS_NOT_RUN,
+		Reason:     reason,
+		Payload:    r.packet.GetPayload(),
+	}
+	r.packet = nil
+	a.out = append(a.out, effect{kind: toAdmission, target: c.upstream.GetNumber(), packet: r.forward})
+	return true
+}
