Add the upstream stand-in

The invariants can only be checked where requests run. The stand-in runs requests in exact slots, sheds or queues the rest, and records each run by flow and request id. It does not recognize duplicates, so that a second run of a non-idempotent request shows.

--- /dev/null
+++ b/standin/upstream/work.go
@@ -0,0 +1,143 @@
+package upstream
+
+import (
+	"time"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/wire"
+)
+
+// work is one request that waits for a slot or runs in one.
+type work struct {
+	packet   *pb.Packet
+	key      runKey
+	deadline time.Time // zero for none
+	late     bool      // the deadline comes before the end of the service time
+	timer    *time.Timer
+}
+
+type runKey struct {
+	flow wire.FlowKey
+	id   uint64
+}
+
+type run struct {
+	count      int
+	idempotent bool
+}
+
+// request starts, queues or sheds a request of a known flow. It does not recognize
+// duplicates: at most once is the balancer's task, and a duplicate must show.
+func (u *Upstream) request(p *pb.Packet, key wire.FlowKey) {
+	w := &work{packet: p, key: runKey{flow: key, id: p.GetRequestId()}}
+	if ms := p.GetDeadlineMs(); ms > 0 {
+		w.deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
+	}
+	switch {
+	case u.faults.shedShare > 0 && u.rng.Float64() < u.faults.shedShare:
+		u.refuse(w, pb.Status_STATUS_NOT_RUN, pb.Reason_REASON_UPSTREAM_SHED)
+	case len(u.running) < u.config.Slots:
+		u.start(w)
+	case len(u.queue) < u.config.Queue:
+		u.counters.Count("queued")
+		u.queue = append(u.queue, w)
+	default:
+		u.refuse(w, pb.Status_STATUS_NOT_RUN, pb.Reason_REASON_UPSTREAM_SHED)
+	}
+}
+
+// refuse answers without a result. STATUS_NOT_RUN is given only to work that was not started.
+func (u *Upstream) refuse(w *work, status pb.Status, reason pb.Reason) {
+	u.counters.Refusal(reason)
+	a := reply(w.packet, pb.Kind_KIND_ANSWER)
+	a.Status, a.Reason, a.Parts = status, reason, 1
+	u.send(a)
+}
+
+func (u *Upstream) start(w *work) {
+	r := u.runs[w.key]
+	if r == nil {
+		r = &run{idempotent: w.packet.GetIdempotent()}
+		u.runs[w.key] = r
+	}
+	r.count++
+	u.counters.Count("run")
+	if r.count > 1 && !r.idempotent {
+		u.counters.Count("run_again")
+		u.config.Log.Error().Str("event", "run_again").Str("upstream", u.config.Name).
+			Stringer("flow", w.key.flow).Uint64("request", w.key.id).Int("runs", r.count).Send()
+	}
+	takes := u.drawServiceTime()
+	if left := time.Until(w.deadline); !w.deadline.IsZero() && takes > left {
+		takes, w.late = left, true
+	}
+	u.running[w] = struct{}{}
+	w.timer = time.AfterFunc(takes, func() { u.finish(w) })
+}
+
+// finish answers a request whose time is over and starts the next.
+func (u *Upstream) finish(w *work) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if _, running := u.running[w]; !running || u.closed {
+		return
+	}
+	if wait := time.Until(u.faults.pausedUntil); wait > 0 {
+		w.timer = time.AfterFunc(wait, func() { u.finish(w) })
+		return
+	}
+	delete(u.running, w)
+	if f := u.flows[w.key.flow]; f != nil && f.muted {
+		u.counters.Drop("muted")
+	} else if w.late {
+		u.refuse(w, pb.Status_STATUS_ERROR, pb.Reason_REASON_DEADLINE)
+	} else {
+		u.answer(w)
+	}
+	u.startQueued()
+}
+
+func (u *Upstream) answer(w *work) {
+	u.counters.Count("answered")
+	parts := split(Answer(w.key.flow, w.key.id, w.packet.GetPayload()))
+	for i, part := range parts {
+		a := reply(w.packet, pb.Kind_KIND_ANSWER)
+		a.Status, a.Part, a.Parts, a.Payload = pb.Status_STATUS_OK, uint32(i), uint32(len(parts)), part
+		u.send(a)
+	}
+}
+
+func (u *Upstream) startQueued() {
+	for len(u.queue) > 0 && len(u.running) < u.config.Slots {
+		w := u.queue[0]
+		u.queue = u.queue[1:]
+		if !w.deadline.IsZero() && !time.Now().Before(w.deadline) {
+			u.refuse(w, pb.Status_STATUS_NOT_RUN, pb.Reason_REASON_DEADLINE)
+			continue
+		}
+		u.start(w)
+	}
+}
+
+// cancel drops a waiting request as not run, and stops a running one as an error, since it has
+// run in part.
+func (u *Upstream) cancel(key wire.FlowKey, id uint64) {
+	wanted := runKey{flow: key, id: id}
+	u.counters.Count("cancel")
+	for i, w := range u.queue {
+		if w.key == wanted {
+			u.queue = append(u.queue[:i:i], u.queue[i+1:]...)
+			u.refuse(w, pb.Status_STATUS_NOT_RUN, pb.Reason_REASON_CANCELLED)
+			return
+		}
+	}
+	for w := range u.running {
+		if w.key == wanted {
+			w.timer.Stop()
+			delete(u.running, w)
+			u.refuse(w, pb.Status_STATUS_ERROR, pb.Reason_REASON_CANCELLED)
+			u.startQueued()
+			return
+		}
+	}
+}
