Add the load generator and the check of a run

Callers open long-lived and short flows, send requests with Poisson arrivals and heavy-tailed think times, prove each answer by its digest, and record broken flows with cause and time. No local address is used twice in a run, since requests are identified by it. The summary merges the reports of callers and upstreams and fails a run with a second run of a non-idempotent request, a false not run, a wrong answer, a packet to the wrong service, or a connection broken before the first fault; also a run without answers or with a missing report.

--- a/standin/fabric/tcp.go
+++ b/standin/fabric/tcp.go
@@ -102,7 +102,12 @@
 	}
 	ctx, cancel := f.context()
 	defer cancel()
-	dialed, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp4", to.String())
+	// The receiver sees the sender's relayed address, as with datagrams.
+	dialer := net.Dialer{Timeout: dialTimeout}
+	if zoneOf(from) != 0 {
+		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(relayForm(from), 0))
+	}
+	dialed, err := dialer.DialContext(ctx, "tcp4", to.String())
 	if err != nil {
 		f.counters.Count("tcp.refused")
 		r.abort()
--- /dev/null
+++ b/standin/loadgen/report.go
@@ -0,0 +1,133 @@
+package loadgen
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"text/tabwriter"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+)
+
+// Report is what callers saw of a run.
+type Report struct {
+	Seed       uint64           `json:"seed"`
+	StartedMS  int64            `json:"started_ms"` // Unix time
+	DurationMS int64            `json:"duration_ms"`
+	Services   []ServiceReport  `json:"services"`
+	Counters   map[string]int64 `json:"counters"`
+}
+
+// ServiceReport is what callers of one service saw.
+type ServiceReport struct {
+	Name            string           `json:"name"`
+	Address         string           `json:"address"`
+	FlowsOpened     int64            `json:"flows_opened"`
+	FlowsAtEnd      int64            `json:"flows_at_end"`
+	OpenRefusals    map[string]int64 `json:"open_refusals"`
+	Requests        int64            `json:"requests"`
+	NonIdempotent   int64            `json:"non_idempotent"`
+	Statuses        map[string]int64 `json:"statuses"`
+	Refusals        map[string]int64 `json:"refusals"` // not run, by reason
+	Unknown         map[string]int64 `json:"unknown"`  // outcome unknown, by reason
+	Errors          map[string]int64 `json:"errors"`
+	Retransmissions int64            `json:"retransmissions"`
+	Broken          []Break          `json:"broken"`
+	NotRun          []string         `json:"not_run"` // names of requests answered so
+	Wrong           []string         `json:"wrong_answers"`
+	// FlowsByUpstream counts the long-lived flows at the end by upstream number.
+	FlowsByUpstream map[uint32]int64 `json:"flows_by_upstream"`
+	LatencyMS       Quantiles        `json:"latency_ms"`
+	OpeningMS       Quantiles        `json:"opening_ms"`
+}
+
+// Break is one broken connection.
+type Break struct {
+	Flow     string `json:"flow"`
+	Cause    string `json:"cause"`
+	AtMS     int64  `json:"at_ms"` // Unix time when the caller noticed
+	Upstream uint32 `json:"upstream"`
+}
+
+// Quantiles of a time in milliseconds.
+type Quantiles struct {
+	Median float64 `json:"p50"`
+	P99    float64 `json:"p99"`
+}
+
+func statusName(s pb.Status) string {
+	return strings.ToLower(strings.TrimPrefix(s.String(), "STATUS_"))
+}
+
+// Imbalance returns the largest number of flows of an upstream over the mean, 0 without flows.
+func Imbalance[K comparable](flows map[K]int64) float64 {
+	var largest, sum int64
+	for _, n := range flows {
+		largest, sum = max(largest, n), sum+n
+	}
+	if sum == 0 {
+		return 0
+	}
+	return float64(largest) * float64(len(flows)) / float64(sum)
+}
+
+// List formats counts as "name n, name n", largest first, or "none".
+func List(counts map[string]int64) string {
+	var names []string
+	for name, n := range counts {
+		if n != 0 {
+			names = append(names, name)
+		}
+	}
+	if len(names) == 0 {
+		return "none"
+	}
+	sort.Slice(names, func(i, j int) bool {
+		a, b := counts[names[i]], counts[names[j]]
+		return a > b || (a == b && names[i] < names[j])
+	})
+	for i, name := range names {
+		names[i] = fmt.Sprintf("%s %d", name, counts[name])
+	}
+	return strings.Join(names, ", ")
+}
+
+// Causes counts broken connections by cause.
+func Causes(breaks []Break) map[string]int64 {
+	causes := map[string]int64{}
+	for _, b := range breaks {
+		causes[b.Cause]++
+	}
+	return causes
+}
+
+// Table writes the report as a short table with one column for each service.
+func (r *Report) Table(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	row := func(name string, value func(s *ServiceReport) string) {
+		cells := []string{name}
+		for i := range r.Services {
+			cells = append(cells, value(&r.Services[i]))
+		}
+		_, _ = fmt.Fprintln(t, strings.Join(cells, "\t")) // Flush returns the error
+	}
+	row("service", func(s *ServiceReport) string { return s.Name })
+	row("flows opened / at end", func(s *ServiceReport) string { return fmt.Sprintf("%d / %d", s.FlowsOpened, s.FlowsAtEnd) })
+	row("flows refused", func(s *ServiceReport) string { return List(s.OpenRefusals) })
+	row("requests (non-idempotent)", func(s *ServiceReport) string { return fmt.Sprintf("%d (%d)", s.Requests, s.NonIdempotent) })
+	row("statuses", func(s *ServiceReport) string { return List(s.Statuses) })
+	row("not run, by reason", func(s *ServiceReport) string { return List(s.Refusals) })
+	row("outcome unknown, by reason", func(s *ServiceReport) string { return List(s.Unknown) })
+	row("errors, by reason", func(s *ServiceReport) string { return List(s.Errors) })
+	row("retransmissions", func(s *ServiceReport) string { return fmt.Sprint(s.Retransmissions) })
+	row("broken connections, by cause", func(s *ServiceReport) string { return List(Causes(s.Broken)) })
+	row("wrong answers", func(s *ServiceReport) string { return fmt.Sprint(len(s.Wrong)) })
+	row("imbalance of flows at end", func(s *ServiceReport) string { return fmt.Sprintf("%.3f", Imbalance(s.FlowsByUpstream)) })
+	row("latency p50 / p99, ms", func(s *ServiceReport) string { return fmt.Sprintf("%.1f / %.1f", s.LatencyMS.Median, s.LatencyMS.P99) })
+	row("opening p50 / p99, ms", func(s *ServiceReport) string { return fmt.Sprintf("%.1f / %.1f", s.OpeningMS.Median, s.OpeningMS.P99) })
+	if err := t.Flush(); err != nil {
+		return fmt.Errorf("write table: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/summary/read.go
@@ -0,0 +1,193 @@
+package summary
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/fulmarfield/fulmarfield/standin/loadgen"
+	"github.com/fulmarfield/fulmarfield/standin/upstream"
+)
+
+// Files of a run directory.
+const (
+	LoadFile      = "loadgen.json"  // report of the load generator
+	EventsFile    = "events.tsv"    // Unix ms, kind and text of each event
+	UpstreamsFile = "upstreams.txt" // names of the upstreams that must have reported
+	SteadyFile    = "flows-steady.json"
+	EndFile       = "flows-end.json" // short reports of the upstreams near the end
+	UpstreamDir   = "upstream"       // last reports of the upstreams
+	DaemonDir     = "daemon"         // one JSON file for each balancer
+)
+
+// EventKind says whether connections may break from an event on.
+type EventKind string
+
+// Kinds of events.
+const (
+	Planned EventKind = "planned"
+	Fault   EventKind = "fault"
+	Info    EventKind = "info"
+)
+
+// ErrBadEvent reports a malformed line of the events file.
+var ErrBadEvent = errors.New("event is not MS, KIND and TEXT separated by tabs")
+
+// Event is something that the run did to the system.
+type Event struct {
+	AtMS int64
+	Kind EventKind
+	Text string
+}
+
+// Run is everything that is known of a run.
+type Run struct {
+	Load        loadgen.Report
+	Events      []Event
+	Expected    []string
+	Upstreams   []upstream.Report
+	Steady, End []upstream.Report
+	// Daemons maps a balancer's name to its numbers by dotted name.
+	Daemons map[string]map[string]float64
+}
+
+// Read reads a run directory. Files of balancers and of snapshots may be missing; the report
+// of the load generator may not.
+func Read(dir string) (*Run, error) {
+	r := &Run{Daemons: map[string]map[string]float64{}}
+	raw, err := os.ReadFile(filepath.Join(dir, LoadFile))
+	if err != nil {
+		return nil, fmt.Errorf("report of the load generator: %w", err)
+	}
+	if err := json.Unmarshal(raw, &r.Load); err != nil {
+		return nil, fmt.Errorf("report of the load generator: %w", err)
+	}
+	if r.Events, err = readEvents(filepath.Join(dir, EventsFile)); err != nil {
+		return nil, err
+	}
+	if r.Steady, err = readReports(filepath.Join(dir, SteadyFile)); err != nil {
+		return nil, err
+	}
+	if r.End, err = readReports(filepath.Join(dir, EndFile)); err != nil {
+		return nil, err
+	}
+	names, err := readOptional(filepath.Join(dir, UpstreamsFile))
+	if err != nil {
+		return nil, err
+	}
+	r.Expected = strings.Fields(string(names))
+	if err := r.readUpstreams(filepath.Join(dir, UpstreamDir)); err != nil {
+		return nil, err
+	}
+	return r, r.readDaemons(filepath.Join(dir, DaemonDir))
+}
+
+func readOptional(file string) ([]byte, error) {
+	raw, err := os.ReadFile(file)
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return nil, fmt.Errorf("read run directory: %w", err)
+	}
+	return raw, nil
+}
+
+func readEvents(file string) ([]Event, error) {
+	raw, err := readOptional(file)
+	if err != nil {
+		return nil, err
+	}
+	var events []Event
+	for lines := bufio.NewScanner(bytes.NewReader(raw)); lines.Scan(); {
+		fields := strings.SplitN(lines.Text(), "\t", 3)
+		if len(fields) != 3 {
+			return nil, fmt.Errorf("%q: %w", lines.Text(), ErrBadEvent)
+		}
+		at, err := strconv.ParseInt(fields[0], 10, 64)
+		if err != nil {
+			return nil, fmt.Errorf("%q: %w", lines.Text(), ErrBadEvent)
+		}
+		events = append(events, Event{AtMS: at, Kind: EventKind(fields[1]), Text: fields[2]})
+	}
+	return events, nil
+}
+
+// readReports reads arrays of reports that follow each other.
+func readReports(file string) ([]upstream.Report, error) {
+	raw, err := readOptional(file)
+	if err != nil {
+		return nil, err
+	}
+	var all []upstream.Report
+	for decoder := json.NewDecoder(bytes.NewReader(raw)); ; {
+		var some []upstream.Report
+		if err := decoder.Decode(&some); errors.Is(err, io.EOF) {
+			return all, nil
+		} else if err != nil {
+			return nil, fmt.Errorf("reports of upstreams in %s: %w", filepath.Base(file), err)
+		}
+		all = append(all, some...)
+	}
+}
+
+func (r *Run) readUpstreams(dir string) error {
+	files, err := filepath.Glob(filepath.Join(dir, "*.json"))
+	if err != nil {
+		return fmt.Errorf("list reports of upstreams: %w", err)
+	}
+	for _, file := range files {
+		some, err := readReports(file)
+		if err != nil {
+			return err
+		}
+		r.Upstreams = append(r.Upstreams, some...)
+	}
+	return nil
+}
+
+func (r *Run) readDaemons(dir string) error {
+	files, err := filepath.Glob(filepath.Join(dir, "*.json"))
+	if err != nil {
+		return fmt.Errorf("list reports of balancers: %w", err)
+	}
+	for _, file := range files {
+		raw, err := os.ReadFile(file)
+		if err != nil {
+			return fmt.Errorf("report of a balancer: %w", err)
+		}
+		numbers := map[string]float64{}
+		for decoder := json.NewDecoder(bytes.NewReader(raw)); ; {
+			var v any
+			// A balancer that was killed leaves an empty or cut file.
+			if decoder.Decode(&v) != nil {
+				break
+			}
+			flatten("", v, numbers)
+		}
+		r.Daemons[strings.TrimSuffix(filepath.Base(file), ".json")] = numbers
+	}
+	return nil
+}
+
+// flatten collects the numbers of a JSON value by their dotted names.
+func flatten(prefix string, v any, into map[string]float64) {
+	switch v := v.(type) {
+	case float64:
+		into[strings.TrimSuffix(prefix, ".")] = v
+	case string:
+		// Protobuf's JSON writes 64-bit numbers as strings.
+		if n, err := strconv.ParseFloat(v, 64); err == nil {
+			into[strings.TrimSuffix(prefix, ".")] = n
+		}
+	case map[string]any:
+		for name, inner := range v {
+			flatten(prefix+name+".", inner, into)
+		}
+	}
+}
--- /dev/null
+++ b/standin/summary/summary_test.go
@@ -0,0 +1,109 @@
+package summary_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fulmarfield/fulmarfield/standin/summary"
+)
+
+const flow = "127.9.1.1:10000>127.2.1.1:8001"
+
+func readRun(t *testing.T, files map[string]string) *summary.Run {
+	t.Helper()
+	g := NewWithT(t)
+	dir := t.TempDir()
+	for name, text := range files {
+		g.Expect(os.MkdirAll(filepath.Dir(filepath.Join(dir, name)), 0o700)).To(Succeed())
+		g.Expect(os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600)).To(Succeed())
+	}
+	run, err := summary.Read(dir)
+	g.Expect(err).NotTo(HaveOccurred())
+	return run
+}
+
+func rules(run *summary.Run) []string {
+	var names []string
+	for _, v := range run.Check() {
+		names = append(names, v.Rule)
+	}
+	return names
+}
+
+func load(broken string) string {
+	return `{"started_ms":1000,"services":[{"name":"bindery","address":"127.2.1.1:8001","statuses":{"ok":5},"broken":[` + broken + `]}]}`
+}
+
+// Guards against a request that ran on two upstreams, once on each, and is not noticed.
+func TestRunsAreMergedOverUpstreams(t *testing.T) {
+	g := NewWithT(t)
+	files := map[string]string{
+		"loadgen.json":        load(""),
+		"upstream/first.json": `[{"name":"bindery-1","runs":{"` + flow + `#1":{"n":1},"` + flow + `#2":{"n":1,"i":true}}}]`,
+		"upstream/other.json": `[{"name":"bindery-2","runs":{"` + flow + `#2":{"n":1,"i":true}}}]`,
+	}
+	g.Expect(rules(readRun(t, files))).To(BeEmpty())
+	files["upstream/third.json"] = `[{"name":"bindery-3","runs":{"` + flow + `#1":{"n":1}}}]`
+	g.Expect(rules(readRun(t, files))).To(ConsistOf("non-idempotent requests run more than once"))
+}
+
+// Guards against a run that passes since nothing was measured.
+func TestIncompleteRunFails(t *testing.T) {
+	g := NewWithT(t)
+	run := readRun(t, map[string]string{
+		"loadgen.json":  `{"services":[{"name":"bindery","statuses":{"ok":0}}]}`,
+		"upstreams.txt": "bindery-1\n",
+	})
+	g.Expect(rules(run)).To(ConsistOf("services without any answer", "upstreams without a report"))
+}
+
+// Guards against a break by a planned change that is put down to a later fault, and the
+// reverse.
+func TestBreaksBeforeTheFirstFault(t *testing.T) {
+	g := NewWithT(t)
+	files := map[string]string{
+		"loadgen.json": load(`{"flow":"` + flow + `","cause":"owner_lost","at_ms":5000}`),
+		"events.tsv":   "4000\tplanned\tstop schuur-2\n6000\tfault\tkill schuur-1\n",
+	}
+	g.Expect(rules(readRun(t, files))).To(ConsistOf("connections broken by a planned change"))
+	files["events.tsv"] = "4500\tfault\tkill schuur-1\n"
+	run := readRun(t, files)
+	g.Expect(rules(run)).To(BeEmpty())
+	var out strings.Builder
+	g.Expect(run.WriteBreaks(&out)).To(Succeed())
+	g.Expect(out.String()).To(ContainSubstring("at 4.0s upstream 0 cause owner_lost after kill schuur-1"))
+}
+
+// Guards against new flows on a draining upstream that are not noticed.
+func TestLateOpensOnDrainedUpstream(t *testing.T) {
+	g := NewWithT(t)
+	files := map[string]string{
+		"loadgen.json":     load(""),
+		"events.tsv":       "10000\tplanned\tdrain bindery-3\n",
+		"upstream/it.json": `[{"name":"bindery-3","last_open_ms":12900}]`,
+	}
+	g.Expect(rules(readRun(t, files))).To(BeEmpty())
+	files["upstream/it.json"] = `[{"name":"bindery-3","last_open_ms":13100}]`
+	g.Expect(rules(readRun(t, files))).To(ConsistOf("new flows on a draining upstream after 3 s"))
+}
+
+// Guards against counters and generations of balancers that are lost in the table.
+func TestTableShowsBalancers(t *testing.T) {
+	g := NewWithT(t)
+	run := readRun(t, map[string]string{
+		"loadgen.json":         load(""),
+		"daemon/schuur-1.json": `{"generation":"7"}{"retry.queue_full":{"count":2},"refusal.deadline":1}`,
+		"daemon/schuur-2.json": `{"config":{"generation":7},"counters":{"retry.queue_full":3}}`,
+		"daemon/winkel-1.json": ``,
+		"flows-end.json":       `[{"name":"a","service":"127.2.1.1:8001","flows_known":3}][{"name":"b","service":"127.2.1.1:8001","flows_known":1}]`,
+	})
+	var out strings.Builder
+	g.Expect(run.WriteTable(&out, nil)).To(Succeed())
+	g.Expect(out.String()).To(MatchRegexp(`retries by balancers +queue_full 5`))
+	g.Expect(out.String()).To(MatchRegexp(`generation in force +schuur-1 7, schuur-2 7, winkel-1 unknown`))
+	g.Expect(out.String()).To(MatchRegexp(`imbalance, end +1.500`))
+}
