--- a/command/grammar.go
+++ b/command/grammar.go
@@ -14,11 +14,9 @@
 	"add upstream NAME to SERVICE zone ZONE address IP:PORT slots N [weight N]",
 	"drain upstream NAME",
 	"undrain upstream NAME",
-	"remove upstream NAME",
+	"remove upstream NAME [force]",
 	"drain daemon NAME",
 	"undrain daemon NAME",
-	"add daemon NAME zone ZONE",
-	"remove daemon NAME",
 	"set aim of SERVICE connections|balance",
 	"set limit of SERVICE queue-length|retry-percent|idle-ms|drain-ms|load-bound-percent N",
 	"abort CHANGE-ID",
@@ -27,7 +25,6 @@
 // Command is one parsed line; exactly one field is set.
 type Command struct {
 	AddUpstream *AddUpstream `parser:"@@"`
-	AddDaemon   *AddDaemon   `parser:"| @@"`
 	SetState    *SetState    `parser:"| @@"`
 	Remove      *Remove      `parser:"| @@"`
 	SetAim      *SetAim      `parser:"| @@"`
@@ -41,14 +38,8 @@
 	Service string `parser:"'to' @Word"`
 	Zone    string `parser:"'zone' @Word"`
 	Address string `parser:"'address' @Word"`
-	Slots   uint32 `parser:"'slots' @Word"`
-	Weight  uint32 `parser:"( 'weight' @Word )?"`
-}
-
-// AddDaemon declares a daemon.
-type AddDaemon struct {
-	Name string `parser:"'add' 'daemon' @Word"`
-	Zone string `parser:"'zone' @Word"`
+	Slots   string `parser:"'slots' @Word"`
+	Weight  string `parser:"( 'weight' @Word )?"`
 }
 
 // SetState drains or undrains an upstream or a daemon.
@@ -58,10 +49,10 @@
 	Name string `parser:"@Word"`
 }
 
-// Remove takes an upstream or a daemon out of the configuration.
+// Remove takes an upstream out of the configuration. Without force it must be draining.
 type Remove struct {
-	Kind string `parser:"'remove' @( 'upstream' | 'daemon' )"`
-	Name string `parser:"@Word"`
+	Name  string `parser:"'remove' 'upstream' @Word"`
+	Force string `parser:"@'force'?"`
 }
 
 // SetAim changes what weighs more for a service.
@@ -74,7 +65,7 @@
 type SetLimit struct {
 	Service string `parser:"'set' 'limit' 'of' @Word"`
 	Limit   string `parser:"@( 'queue-length' | 'retry-percent' | 'idle-ms' | 'drain-ms' | 'load-bound-percent' )"`
-	Value   uint32 `parser:"@Word"`
+	Value   string `parser:"@Word"`
 }
 
 // Abort reverses the drain that a change id began.
--- a/daemon/app.go
+++ b/daemon/app.go
@@ -16,7 +16,6 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/fx"
 
-	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
 	"github.com/fulmarfield/fulmarfield/api/fulmarfield/v1/fulmarfieldv1connect"
 	"github.com/fulmarfield/fulmarfield/membership"
 	"github.com/fulmarfield/fulmarfield/peer"
@@ -267,5 +266,3 @@
 type peerServiceHandler = fulmarfieldv1connect.PeerServiceHandler
 
 var _ fulmarfieldv1connect.PeerServiceClient = peerService{}
-
-var _ = pb.Member{}
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -14,7 +14,9 @@
 
 	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
 	"github.com/fulmarfield/fulmarfield/config"
+	"github.com/fulmarfield/fulmarfield/config/commit"
 	"github.com/fulmarfield/fulmarfield/config/relay"
+	"github.com/fulmarfield/fulmarfield/load"
 	"github.com/fulmarfield/fulmarfield/membership"
 	"github.com/fulmarfield/fulmarfield/ownership"
 	"github.com/fulmarfield/fulmarfield/peer"
@@ -43,10 +45,11 @@
 	Seed uint64
 }
 
-// Clients are connect clients by daemon and by address.
+// Clients make calls to other daemons; peer.ClientSet implements it.
 type Clients interface {
 	peer.Clients
-	addressClients
+	ownership.Clients
+	FetchView(ctx context.Context, from membership.Member, r *pb.GetViewRequest) (*pb.GetViewResponse, error)
 }
 
 // Node is a balancer daemon without its HTTP listeners.
@@ -55,11 +58,13 @@
 	membership *membership.Membership
 	messenger  *peer.Messenger
 	clients    Clients
-	ownership  *ownership.Manager
+	ownership  *ownership.Ownership
 	relay      *relay.Relay
 	steerer    *steering.Steerer
 	admissions *request.Engine
 	dispatcher *dispatcher
+	committer  *commit.Committer
+	load       *load.Table
 	store      platform.Store
 	peerConn   wire.Conn
 	counters   *telemetry.Counters
@@ -90,12 +95,14 @@
 	n := &Node{self: o.Self, store: o.Store, peerConn: o.PeerConn, counters: o.Counters, logger: o.Logger}
 	late := lateBinding{n}
 	n.clients = o.Clients(late)
+	n.committer = commit.New(o.Store, o.Counters)
+	n.load = load.NewTable()
 	n.relay = relay.New(relay.Options{
 		Self: o.Self.ID, Zone: o.Self.Zone, Store: o.Store, Viewer: late, Clients: n.clients,
 		Counters: o.Counters, Logger: o.Logger,
 	})
 	n.membership = membership.New(membership.Options{
-		Self: o.Self, Sender: late, Seeds: o.Seeds, FetchView: fetchView(n.clients), Counters: o.Counters, Logger: o.Logger,
+		Self: o.Self, Sender: late, Seeds: o.Seeds, FetchView: n.clients.FetchView, Counters: o.Counters, Logger: o.Logger,
 		Generation:   func() uint64 { return n.relay.Current().Generation() },
 		OnGeneration: func(from membership.DaemonID, g uint64) { n.relay.OnPeerGeneration(from, g) },
 		OnPause:      func() { n.ownership.OnPause() },
@@ -122,7 +129,7 @@
 		Counters: o.Counters, Logger: o.Logger,
 	})
 	n.admissions = request.New(request.Options{
-		Self: o.Self.ID, Config: n.relay, Router: routes,
+		Self: o.Self.ID, Config: n.relay, Router: routes, Load: n.load,
 		Output:   requestOutput{d: n.dispatcher, notify: n.notifyOwners},
 		Counters: o.Counters, Logger: o.Logger, Rand: rand.New(rand.NewPCG(o.Seed, 2)),
 	})
@@ -133,7 +140,7 @@
 			pb.ResourceKind_RESOURCE_KIND_FLOW_PARTITION: n.steerer,
 			pb.ResourceKind_RESOURCE_KIND_ADMISSION:      n.admissions,
 		},
-		Resources: n.resources, Zone: n.zoneOf,
+		Resources: n.resources, Zone: n.zoneOf, Settled: n.membership.Settled,
 		Counters: o.Counters, Logger: o.Logger,
 	})
 }
@@ -188,7 +195,7 @@
 		n.dispatcher.forwarded(body.Forward)
 	case *pb.PeerDatagram_UpstreamNotice:
 		n.steerer.HandlePeer(from, m)
-		n.admissions.HandleNotice(body.UpstreamNotice)
+		n.load.Learn(body.UpstreamNotice)
 	default:
 		if !n.membership.HandleDatagram(from, m) && !n.steerer.HandlePeer(from, m) {
 			n.counters.Drop("unknown_message")
@@ -227,7 +234,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	tasks := map[string]func(context.Context) error{
 		"messenger": n.messenger.Run, "membership": n.membership.Run, "ownership": n.ownership.Run,
-		"relay": n.relay.Run, "steering": n.steerer.Run, "request": n.admissions.Run, "ingress": n.readPackets,
+		"relay": n.relay.Run, "steering": n.steerer.Run, "request": n.runAdmissions, "ingress": n.readPackets,
 	}
 	for name, run := range tasks {
 		group.Go(func() error {
@@ -244,6 +251,11 @@
 	return group.Wait()
 }
 
+func (n *Node) runAdmissions(ctx context.Context) error {
+	n.admissions.Run(ctx)
+	return nil
+}
+
 // readBatch is the number of datagrams of one read of the data socket.
 const readBatch = 64
 
--- a/daemon/operatorservice.go
+++ b/daemon/operatorservice.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -33,11 +34,7 @@
 		response.Errors = errs.Lines()
 		return connect.NewResponse(response), nil
 	}
-	_, summary, err := declaration.Build(s.n.relay.Current().Proto, d, "plan", "", time.Now())
-	if err != nil {
-		response.Errors = []string{err.Error()}
-	}
-	response.Lines = summary
+	_, response.Lines = declaration.Build(s.n.relay.Current().Proto, d, "plan", "", time.Now())
 	return connect.NewResponse(response), nil
 }
 
@@ -53,8 +50,8 @@
 		return connect.NewResponse(response), nil
 	}
 	edit := func(previous *pb.Configuration) (*pb.Configuration, error) {
-		next, _, err := declaration.Build(previous, d, m.GetChangeId(), m.GetAuthor(), time.Now())
-		return next, err
+		next, _ := declaration.Build(previous, d, m.GetChangeId(), m.GetAuthor(), time.Now())
+		return next, nil
 	}
 	result := s.commit(ctx, m.GetChangeId(), m.GetExpectedGeneration(), edit)
 	response.Outcome, response.Generation, response.Reason = result.outcome, result.generation, result.reason
@@ -94,9 +91,9 @@
 		response.Reason = "the line is not a command"
 		return response
 	}
-	meta := command.Meta{ChangeID: m.GetChangeId(), Author: m.GetAuthor(), Line: m.GetLine(), Now: time.Now()}
+	change := declaration.Change{ID: m.GetChangeId(), Author: m.GetAuthor(), At: time.Now()}
 	result := s.commit(ctx, m.GetChangeId(), 0, func(previous *pb.Configuration) (*pb.Configuration, error) {
-		return c.Edit(previous, meta)
+		return c.Edit(previous, change)
 	})
 	s.n.logger.Info().Str("event", eventCommand).Str("line", m.GetLine()).Str("author", m.GetAuthor()).
 		Str("change_id", m.GetChangeId()).Str("outcome", result.outcome.String()).Msg("")
@@ -113,16 +110,23 @@
 }
 
 func (s operatorService) commit(ctx context.Context, changeID string, expected uint64, edit commit.Edit) commitResult {
-	if changeID == "" {
-		return commitResult{outcome: pb.Outcome_OUTCOME_REFUSED, reason: "a change id is needed"}
-	}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	result := commit.Commit(ctx, s.n.store, changeID, expected, edit)
+	result := s.n.committer.Commit(ctx, changeID, expected, edit)
 	if result.Configuration != nil {
-		s.n.relay.Adopt(result.Configuration)
+		s.n.relay.HandlePush(&pb.PushConfigurationRequest{Configuration: result.Configuration})
+	}
+	return commitResult{outcome: result.Outcome, generation: result.Generation, reason: reasonOf(result)}
+}
+
+func reasonOf(r commit.Result) string {
+	if r.Err == nil {
+		return ""
+	}
+	if len(r.Changed) == 0 {
+		return r.Err.Error()
 	}
-	return commitResult{outcome: result.Outcome, generation: result.Generation, reason: result.Reason}
+	return r.Err.Error() + ": " + strings.Join(r.Changed, "; ")
 }
 
 // inForcePoll is how often a waiting command asks the daemons for their generation.
@@ -131,7 +135,7 @@
 // waitInForce asks all daemons for their generation until each has at least the committed one
 // or the time is up. Daemons that did not confirm are listed, never assumed.
 func (s operatorService) waitInForce(ctx context.Context, r commitResult, waitMs uint32) (inForce, notConfirmed []string) {
-	if r.generation == 0 {
+	if r.outcome != pb.Outcome_OUTCOME_COMMITTED && r.outcome != pb.Outcome_OUTCOME_UNCHANGED {
 		return nil, nil
 	}
 	deadline := time.Now().Add(time.Duration(waitMs) * time.Millisecond)
--- a/daemon/peerservice.go
+++ b/daemon/peerservice.go
@@ -22,7 +22,11 @@
 }
 
 func (s peerService) Claim(_ context.Context, r *connect.Request[pb.ClaimRequest]) (*connect.Response[pb.ClaimResponse], error) {
-	return connect.NewResponse(s.n.ownership.HandleClaim(r.Msg)), nil
+	response, err := s.n.ownership.HandleClaim(r.Msg)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+	}
+	return connect.NewResponse(response), nil
 }
 
 func (s peerService) Offer(_ context.Context, r *connect.Request[pb.OfferRequest]) (*connect.Response[pb.OfferResponse], error) {
@@ -52,8 +56,9 @@
 		GenerationAgeMs:   n.relay.Age().Milliseconds(),
 		Incarnation:       n.membership.SelfIncarnation(),
 		Counters:          n.counters.Snapshot(),
-		FlowCount:         uint64(stats.Flows),
-		ResourcesHeld:     uint32(n.ownership.HeldCount()),
+		FlowCount:         stats.Flows,
+		ResourcesHeld:     uint32(n.ownership.Held()),
+		ResourcesClaiming: uint32(n.ownership.Claiming()),
 		Leaving:           n.leaving.Load(),
 		PlatformReachable: n.relay.PlatformReachable(),
 	}
@@ -64,7 +69,7 @@
 		for _, u := range service.GetUpstreams() {
 			entry := n.admissions.Status(u.GetNumber())
 			entry.Upstream, entry.Service = u.GetNumber(), service.GetNumber()
-			entry.Flows = uint32(stats.ByUpstream[u.GetNumber()])
+			entry.Flows = stats.ByUpstream[u.GetNumber()]
 			status.Upstreams = append(status.Upstreams, entry)
 		}
 	}
--- a/daemon/seeds.go
+++ b/daemon/seeds.go
@@ -4,10 +4,6 @@
 	"context"
 	"net/netip"
 
-	"connectrpc.com/connect"
-
-	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
-	"github.com/fulmarfield/fulmarfield/api/fulmarfield/v1/fulmarfieldv1connect"
 	"github.com/fulmarfield/fulmarfield/membership"
 	"github.com/fulmarfield/fulmarfield/platform"
 )
@@ -43,19 +39,3 @@
 	}
 	return members, nil
 }
-
-// addressClients gives a connect client for an address that need not be in the view.
-type addressClients interface {
-	ClientAt(addr netip.AddrPort) fulmarfieldv1connect.PeerServiceClient
-}
-
-// fetchView asks a seed for its view.
-func fetchView(clients addressClients) func(context.Context, membership.Member, *pb.GetViewRequest) (*pb.GetViewResponse, error) {
-	return func(ctx context.Context, from membership.Member, request *pb.GetViewRequest) (*pb.GetViewResponse, error) {
-		response, err := clients.ClientAt(from.ControlAddress).GetView(ctx, connect.NewRequest(request))
-		if err != nil {
-			return nil, err
-		}
-		return response.Msg, nil
-	}
-}
