--- /dev/null
+++ b/scripts/cluster.sh
@@ -0,0 +1,341 @@
+# Functions that start and stop the processes of a deployment on one machine. Sourced by
+# demo.sh and failure-run.sh from the root of the repository, after `make build`.
+#
+# cluster_init must be called first. Everything that was started is stopped at exit, by
+# process id. Files of the run are in $RUN_DIR.
+# shellcheck shell=bash
+set -euo pipefail
+
+FABRIC_ADMIN=127.0.0.1:7200
+PLATFORM_BIND=127.0.99.1:7100
+PLATFORM_URL=http://127.1.99.1:7100
+# Routes to a balancer that died are withdrawn after this many seconds.
+WITHDRAW_SECONDS=1
+# Highest host number of a balancer that the fabric relays in each zone.
+MAX_DAEMON_HOST=9
+# A leaving balancer hands over for at most 10 s.
+STOP_SECONDS=15
+# Mean service time of each upstream.
+MEAN_SERVICE=8ms
+
+declare -A PIDS=()          # process name to process id
+declare -A DAEMON_ZONE=() DAEMON_HOST=() DAEMON_UP=()
+declare -A UPSTREAM_IP=()
+declare -A PLATFORM_FAULTS=() WITHDRAWALS=()
+DAEMONS=() UPSTREAMS=() SERVICES=() ZONES=()
+RUN_DIR=
+
+say() { printf '%s %s\n' "$(date +%T)" "$*"; }
+fail() { printf 'error: %s\n' "$*" >&2; exit 1; }
+bad_setting() { printf 'bad setting: %s\n' "$*" >&2; exit 2; }
+
+# mark KIND TEXT: records an event for the summary. KIND is planned, fault or info.
+mark() {
+  printf '%s\t%s\t%s\n' "$(date +%s%3N)" "$1" "$2" >>"$RUN_DIR/events.tsv"
+  say "$1: $2"
+}
+
+post() { curl -sS -f -m 5 -X POST "$1" >/dev/null; }
+
+# cluster_init DEPLOYMENT SEED: reads the declaration and makes the run directory.
+cluster_init() {
+  DEPLOYMENT=$1 SEED=$2
+  DECLARATION=deployments/$DEPLOYMENT.yaml
+  [ -f "$DECLARATION" ] || bad_setting "--deployment $DEPLOYMENT: allowed: hopkrans-hoeve, kelpiestone-engraving"
+  [[ $SEED =~ ^[0-9]{1,9}$ ]] || bad_setting "--seed $SEED: allowed: a number of up to 9 digits"
+  local program
+  for program in fulmar-balancer fulmarctl standin-platform standin-fabric standin-upstream loadgen; do
+    [ -x "bin/$program" ] || fail "bin/$program is missing: run make build first"
+  done
+  RUN_DIR=$(mktemp -d "${TMPDIR:-/tmp}/fulmarfield.XXXXXX")
+  mkdir -p "$RUN_DIR"/{log,upstream,daemon}
+  trap cluster_exit EXIT
+  trap 'exit 130' INT
+  trap 'exit 143' TERM
+  touch "$RUN_DIR/events.tsv"
+  (umask 077; head -c 32 /dev/urandom | od -An -v -tx1 | tr -d ' \n' >"$RUN_DIR/key")
+  RANDOM=$SEED
+  read_declaration
+}
+
+# flow_field LINE NAME: value of a field of a YAML flow mapping on one line.
+flow_field() { sed -n "s/.*[{ ]$2: *\"\{0,1\}\([^,}\"]*\)\"\{0,1\} *[,}].*/\1/p" <<<"$1"; }
+
+# read_declaration fills the lists. It reads the layout of the files in deployments/ only.
+read_declaration() {
+  local section= line name
+  while IFS= read -r line; do
+    case $line in
+      zones:*) section=zones ;; daemons:*) section=daemons ;; services:*) section=services ;; upstreams:*) section=upstreams ;;
+      [a-z]*) section= ;;
+    esac
+    case $section:$line in
+      zones:*"- "*) ZONES+=("${line##*- }") ;;
+      services:*"name: "*) name=${line##*name: } ;;
+      services:*"address: "*) SERVICES+=("$name=${line##*address: }") ;;
+      daemons:*"- {"*) read_daemon "$line" ;;
+      upstreams:*"- {"*) read_upstream "$line" ;;
+    esac
+  done <"$DECLARATION"
+  [ ${#DAEMONS[@]} -gt 0 ] && [ ${#UPSTREAMS[@]} -gt 0 ] && [ ${#SERVICES[@]} -gt 0 ] ||
+    fail "$DECLARATION: no daemons, services or upstreams found"
+}
+
+read_daemon() {
+  local name ip
+  name=$(flow_field "$1" name)
+  ip=$(flow_field "$1" address)
+  DAEMONS+=("$name")
+  DAEMON_ZONE[$name]=$(cut -d. -f3 <<<"$ip")
+  DAEMON_HOST[$name]=$(cut -d. -f4 <<<"$ip")
+}
+
+# An upstream is kept as NAME SERVICE IP SLOTS, with the IP that it binds.
+read_upstream() {
+  local name address
+  name=$(flow_field "$1" name)
+  address=$(flow_field "$1" address)
+  UPSTREAM_IP[$name]=127.0.${address#127.1.}
+  UPSTREAM_IP[$name]=${UPSTREAM_IP[$name]%:*}
+  UPSTREAMS+=("$name $(flow_field "$1" service) ${UPSTREAM_IP[$name]} $(flow_field "$1" slots)")
+  printf '%s\n' "$name" >>"$RUN_DIR/upstreams.txt"
+}
+
+# start NAME COMMAND...: starts a process and remembers its id.
+start() {
+  local name=$1
+  shift
+  "$@" >>"$RUN_DIR/log/$name.log" 2>&1 &
+  PIDS[$name]=$!
+  printf '%s\n' "${PIDS[$name]}" >"$RUN_DIR/$name.pid"
+}
+
+running() { [ -n "${PIDS[$1]:-}" ] && kill -0 "${PIDS[$1]}" 2>/dev/null; }
+
+# stop NAME [SECONDS]: SIGTERM, then SIGKILL after that many seconds.
+stop() {
+  local name=$1 tenths=$((${2:-5} * 10))
+  running "$name" || { unset "PIDS[$name]"; return 0; }
+  kill -TERM "${PIDS[$name]}" 2>/dev/null || true
+  while running "$name" && ((tenths-- > 0)); do sleep 0.1; done
+  if running "$name"; then
+    say "$name did not end by itself"
+    kill -KILL "${PIDS[$name]}" 2>/dev/null || true
+  fi
+  wait "${PIDS[$name]}" 2>/dev/null || true
+  unset "PIDS[$name]"
+}
+
+# cluster_exit stops everything that is left, paused processes included.
+cluster_exit() {
+  local status=$? name
+  trap '' INT TERM
+  for name in "${!PIDS[@]}"; do
+    kill -CONT "${PIDS[$name]}" 2>/dev/null || true
+    kill -TERM "${PIDS[$name]}" 2>/dev/null || true
+  done
+  for name in "${!PIDS[@]}"; do stop "$name" 3; done
+  if [ -n "$RUN_DIR" ]; then
+    if [ "$status" -eq 0 ] && [ -z "${KEEP_RUN:-}" ]; then rm -rf "$RUN_DIR"; else printf 'files of the run: %s\n' "$RUN_DIR"; fi
+  fi
+  exit "$status"
+}
+
+# wait_for SECONDS WHAT COMMAND...: repeats the command until it succeeds.
+wait_for() {
+  local tenths=$(($1 * 10)) what=$2
+  shift 2
+  until "$@" >/dev/null 2>&1; do
+    ((tenths-- > 0)) || fail "$what: not there in time; see $RUN_DIR/log"
+    sleep 0.1
+  done
+}
+
+start_stand_ins() {
+  local args=() zone entry name service ip slots n=0
+  start platform bin/standin-platform --address "$PLATFORM_BIND"
+  for entry in "${SERVICES[@]}"; do args+=(--service "${entry#*=}"); done
+  for zone in "${!ZONES[@]}"; do args+=(--vm "127.0.$((zone + 1)).1-$MAX_DAEMON_HOST"); done
+  for name in "${!UPSTREAM_IP[@]}"; do args+=(--vm "${UPSTREAM_IP[$name]}"); done
+  start fabric bin/standin-fabric --vm "${PLATFORM_BIND%:*}" "${args[@]}" --admin-address "$FABRIC_ADMIN" --seed "$SEED"
+  for entry in "${UPSTREAMS[@]}"; do
+    read -r name service ip slots <<<"$entry"
+    start "$name" bin/standin-upstream --name "$name" --address "$ip:9000" --admin-address "$ip:9001" --slots "$slots" \
+      --service-address "$(service_address "$service")" --seed $((SEED + ++n)) --mean-service "$MEAN_SERVICE" \
+      --report "$RUN_DIR/upstream/$name.json"
+  done
+  wait_for 5 fabric curl -sf "http://$FABRIC_ADMIN/state"
+  wait_for 5 platform curl -sf "http://$PLATFORM_BIND/admin/faults"
+  for name in "${!UPSTREAM_IP[@]}"; do wait_for 5 "$name" curl -sf "http://${UPSTREAM_IP[$name]}:9001/report"; done
+}
+
+service_address() {
+  local entry
+  for entry in "${SERVICES[@]}"; do [ "${entry%%=*}" = "$1" ] && printf '%s' "${entry#*=}"; done
+  return 0
+}
+
+# start_daemon NAME: starts a balancer and registers it as a VM; it gets no datagrams yet.
+start_daemon() {
+  local name=$1 zone=${DAEMON_ZONE[$1]} host=${DAEMON_HOST[$1]} seeds=() other
+  local bind=127.0.$zone.$host reach=127.1.$zone.$host
+  for other in "${DAEMONS[@]}"; do
+    [ "$other" = "$name" ] || seeds+=(--peers "127.1.${DAEMON_ZONE[$other]}.${DAEMON_HOST[$other]}:7001")
+  done
+  curl -sS -f -m 5 -X PUT "http://$PLATFORM_BIND/admin/vms/$name" -d "{\"kind\":\"daemon\",\"zone\":\"${ZONES[$((zone - 1))]}\",
+    \"peer_address\":\"$reach:7001\",\"control_address\":\"$reach:7002\",\"data_address\":\"$reach:7000\"}" >/dev/null
+  start "$name" bin/fulmar-balancer --name "$name" --zone "${ZONES[$((zone - 1))]}" \
+    --data-address "$bind:7000" --peer-address "$bind:7001" --control-address "$bind:7002" --admin-address "$bind:7003" \
+    --advertise-peer-address "$reach:7001" --advertise-control-address "$reach:7002" \
+    --platform "$PLATFORM_URL" "${seeds[@]}" --key-file "$RUN_DIR/key"
+  DAEMON_UP[$name]=1
+}
+
+bind_ip() { printf '127.0.%s.%s' "${DAEMON_ZONE[$1]}" "${DAEMON_HOST[$1]}"; }
+admin_url() { printf 'http://%s:7003' "$(bind_ip "$1")"; }
+
+# wait_daemon NAME: until the admin address answers; wait_ready: until it has a configuration.
+wait_daemon() { wait_for 10 "$1" curl -s -o /dev/null "$(admin_url "$1")/ready"; }
+wait_ready() { wait_for 15 "readiness of $1" curl -sf "$(admin_url "$1")/ready"; }
+
+fabric_add() { post "http://$FABRIC_ADMIN/daemons/add?address=$(bind_ip "$1")"; }
+fabric_remove() { post "http://$FABRIC_ADMIN/daemons/remove?address=$(bind_ip "$1")"; }
+
+# fabric_cut ZONE ZONE, fabric_heal ZONE ZONE; the platform is zone 99.
+fabric_cut() { post "http://$FABRIC_ADMIN/cut?a=$1&b=$2"; }
+fabric_heal() { post "http://$FABRIC_ADMIN/heal?a=$1&b=$2"; }
+
+# platform_fault FIELD VALUE: sets one fault of the platform and keeps the others.
+platform_fault() {
+  local field body=
+  PLATFORM_FAULTS[$1]=$2
+  for field in "${!PLATFORM_FAULTS[@]}"; do body+="${body:+,}\"$field\":${PLATFORM_FAULTS[$field]}"; done
+  curl -sS -f -m 5 -X PUT "http://$PLATFORM_BIND/admin/faults" -d "{$body}" >/dev/null
+}
+
+# upstream_fault NAME FAULT QUERY, for example: upstream_fault bindery-1 lie on=true
+upstream_fault() { post "http://${UPSTREAM_IP[$1]}:9001/fault/$2?$3"; }
+
+# control runs fulmarctl against a balancer that is up.
+control() {
+  local name
+  for name in "${DAEMONS[@]}"; do
+    if [ -n "${DAEMON_UP[$name]:-}" ]; then
+      bin/fulmarctl --address "127.0.${DAEMON_ZONE[$name]}.${DAEMON_HOST[$name]}:7002" "$@"
+      return
+    fi
+  done
+  fail "no balancer is up"
+}
+
+apply_declaration() { control apply "$DECLARATION" >>"$RUN_DIR/log/apply.log" 2>&1; }
+
+# cluster_start starts everything, applies the declaration and lets the fabric use all.
+cluster_start() {
+  local name
+  start_stand_ins
+  for name in "${DAEMONS[@]}"; do start_daemon "$name"; done
+  for name in "${DAEMONS[@]}"; do wait_daemon "$name"; done
+  wait_for 10 "apply of $DECLARATION" apply_declaration
+  for name in "${DAEMONS[@]}"; do
+    wait_ready "$name"
+    fabric_add "$name"
+  done
+}
+
+# add_daemon NAME ZONE-NUMBER HOST: a balancer that joins a running deployment.
+add_daemon() {
+  DAEMON_ZONE[$1]=$2 DAEMON_HOST[$1]=$3
+  DAEMONS+=("$1")
+  start_daemon "$1"
+  wait_ready "$1"
+  fabric_add "$1"
+}
+
+# save_daemon NAME FILE: keeps the counters and the generation for the summary.
+save_daemon() { curl -s -m 3 "$(admin_url "$1")/status" >"$RUN_DIR/daemon/$2.json" || true; }
+
+# stop_daemon NAME: a planned removal. Routes are withdrawn first, as on a real network.
+stop_daemon() {
+  save_daemon "$1" "$1-stopped"
+  fabric_remove "$1"
+  unset "DAEMON_UP[$1]"
+  stop "$1" "$STOP_SECONDS"
+  curl -sS -f -m 5 -X DELETE "http://$PLATFORM_BIND/admin/vms/$1" >/dev/null
+}
+
+# withdraw_later NAME: takes a dead balancer off the fabric's list after a while, without
+# waiting for that; withdrawn NAME waits.
+withdraw_later() {
+  { sleep "$WITHDRAW_SECONDS"; fabric_remove "$1"; } &
+  WITHDRAWALS[$1]=$!
+}
+withdrawn() {
+  [ -z "${WITHDRAWALS[$1]:-}" ] || wait "${WITHDRAWALS[$1]}"
+  unset "WITHDRAWALS[$1]"
+}
+
+# kill_daemon NAME: SIGKILL; routes are withdrawn later.
+kill_daemon() {
+  save_daemon "$1" "$1-killed"
+  unset "DAEMON_UP[$1]"
+  kill -KILL "${PIDS[$1]}"
+  wait "${PIDS[$1]}" 2>/dev/null || true
+  unset "PIDS[$1]"
+  withdraw_later "$1"
+}
+
+# restart_daemon NAME: after kill_daemon, on the same addresses.
+restart_daemon() {
+  withdrawn "$1"
+  start_daemon "$1"
+  wait_ready "$1"
+  fabric_add "$1"
+}
+
+# pause_daemon NAME: SIGSTOP; resume_daemon NAME: SIGCONT.
+pause_daemon() {
+  unset "DAEMON_UP[$1]"
+  kill -STOP "${PIDS[$1]}"
+  withdraw_later "$1"
+}
+resume_daemon() {
+  withdrawn "$1"
+  kill -CONT "${PIDS[$1]}"
+  DAEMON_UP[$1]=1
+  wait_ready "$1"
+  fabric_add "$1"
+}
+
+# start_load SECONDS FLOWS [FLAG...]: the load generator in the background.
+start_load() {
+  local seconds=$1 flows=$2 args=() entry
+  shift 2
+  for entry in "${SERVICES[@]}"; do args+=(--service "$entry"); done
+  bin/loadgen "${args[@]}" --duration "${seconds}s" --flows "$flows" --seed "$SEED" --report "$RUN_DIR/loadgen.json" "$@" \
+    >"$RUN_DIR/log/loadgen.log" 2>&1 &
+  PIDS[loadgen]=$!
+}
+
+wait_load() {
+  local status=0
+  wait "${PIDS[loadgen]}" || status=$?
+  unset "PIDS[loadgen]"
+  [ "$status" -eq 0 ] || fail "loadgen ended with status $status; see $RUN_DIR/log/loadgen.log"
+}
+
+# snapshot_flows FILE: the flows of each upstream at this moment.
+snapshot_flows() {
+  local name
+  for name in "${!UPSTREAM_IP[@]}"; do curl -s -m 3 "http://${UPSTREAM_IP[$name]}:9001/report" >>"$RUN_DIR/$1" || true; done
+}
+
+# collect saves what balancers know and stops the upstreams, which then write their reports.
+collect() {
+  local name
+  for name in "${!DAEMON_UP[@]}"; do save_daemon "$name" "$name"; done
+  for name in "${!UPSTREAM_IP[@]}"; do
+    running "$name" && kill -TERM "${PIDS[$name]}"
+  done
+  for name in "${!UPSTREAM_IP[@]}"; do stop "$name" 5; done
+}
