--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 
@@ -24,6 +25,15 @@
 		w.Header().Set("Content-Type", "application/json")
 		metrics.WriteJSONOnce(n.counters.Registry(), w)
 	})
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		status := n.Status("")
+		// The reader that went away needs no error.
+		_ = json.NewEncoder(w).Encode(map[string]any{
+			"daemon": status.GetDaemon(), "generation": status.GetGeneration(), "flows": status.GetFlowCount(),
+			"resources": status.GetResourcesHeld(), "claiming": status.GetResourcesClaiming(), "counters": status.GetCounters(),
+		})
+	})
 	return mux
 }
 
