--- a/caller/request.go
+++ b/caller/request.go
@@ -39,6 +39,8 @@
 	Upstream uint32
 	// Attempts is the number of transmissions.
 	Attempts uint32
+	// RequestID is the id of the request on its flow, 0 if it was never given one.
+	RequestID uint64
 }
 
 // pending is a request that waits for its answer.
@@ -75,14 +77,14 @@
 				p.GuardToken = f.currentToken()
 			}
 			if err := f.send(p); err != nil {
-				return Answer{Status: pb.Status_STATUS_NOT_RUN}, err
+				return unsent(p), err
 			}
 		}
 		timer := time.NewTimer(retry.next())
 		select {
 		case a := <-waiting.answer:
 			timer.Stop()
-			a.Attempts = p.GetAttempt()
+			a.Attempts, a.RequestID = p.GetAttempt(), p.GetRequestId()
 			return a, nil
 		case <-overdue.C:
 			timer.Stop()
@@ -104,7 +106,16 @@
 
 // lost is the answer to a request that was sent and not answered.
 func lost(p *pb.Packet, reason pb.Reason) Answer {
-	return Answer{Status: pb.Status_STATUS_OUTCOME_UNKNOWN, Reason: reason, Attempts: p.GetAttempt()}
+	return Answer{Status: pb.Status_STATUS_OUTCOME_UNKNOWN, Reason: reason, Attempts: p.GetAttempt(), RequestID: p.GetRequestId()}
+}
+
+// unsent is the answer to a request whose transmission failed here. An earlier transmission
+// may have reached the upstream, so that only the first failure proves that it did not run.
+func unsent(p *pb.Packet) Answer {
+	if p.GetAttempt() > 1 {
+		return lost(p, pb.Reason_REASON_ANSWER_LOST)
+	}
+	return Answer{Status: pb.Status_STATUS_NOT_RUN, RequestID: p.GetRequestId()}
 }
 
 // register gives the request its id and, if it may run only once, the guard token that it
--- a/daemon/app.go
+++ b/daemon/app.go
@@ -139,13 +139,13 @@
 	}
 	httpClient := newPeerHTTPClient(localIP(s.ControlAddress))
 	now := uint64(time.Now().UnixNano())
-	seeds := seedLister{self: membership.DaemonID(s.Name), vms: p}
+	var peers []netip.AddrPort
 	for _, address := range s.Peers {
-		seeds.peers = append(seeds.peers, netip.MustParseAddrPort(address))
+		peers = append(peers, netip.MustParseAddrPort(address))
 	}
 	return NewNode(Options{
 		Self: s.Self(now), Key: key, DataConn: dataConn, PeerConn: peerConn, Store: p,
-		Seeds: seeds.list,
+		Seeds: SeedsFrom(membership.DaemonID(s.Name), peers, p),
 		Clients: func(v membership.Viewer) Clients {
 			return peer.NewClients(v, httpClient, key, counters)
 		},
@@ -186,7 +186,7 @@
 	peerMux, operatorMux := http.NewServeMux(), http.NewServeMux()
 	peerMux.Handle(fulmarfieldv1connect.NewPeerServiceHandler(n.PeerService(),
 		connect.WithInterceptors(peer.NewServerInterceptor(key, counters))))
-	operatorMux.Handle(fulmarfieldv1connect.NewOperatorServiceHandler(operatorService{n}))
+	operatorMux.Handle(fulmarfieldv1connect.NewOperatorServiceHandler(n.OperatorService()))
 	access := operatorAccess{token: token, counters: counters, logger: logger}
 	l := &listeners{}
 	if err := l.listen("control-address", s.ControlAddress, peerMux, nil); err != nil {
--- a/daemon/operatorservice.go
+++ b/daemon/operatorservice.go
@@ -11,6 +11,7 @@
 	"connectrpc.com/connect"
 
 	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/api/fulmarfield/v1/fulmarfieldv1connect"
 	"github.com/fulmarfield/fulmarfield/command"
 	"github.com/fulmarfield/fulmarfield/config"
 	"github.com/fulmarfield/fulmarfield/config/commit"
@@ -22,6 +23,11 @@
 // operatorService answers the operators' client.
 type operatorService struct{ n *Node }
 
+// OperatorService returns the handler of operators' calls.
+func (n *Node) OperatorService() fulmarfieldv1connect.OperatorServiceHandler {
+	return operatorService{n}
+}
+
 // commitTimeout bounds a commit with its read-backs; past it the outcome is unknown.
 const commitTimeout = 10 * time.Second
 
--- a/daemon/seeds.go
+++ b/daemon/seeds.go
@@ -8,6 +8,12 @@
 	"github.com/fulmarfield/fulmarfield/platform"
 )
 
+// SeedsFrom returns a function that lists daemons to join: those at the given control
+// addresses and those of the platform's VM list, self excepted.
+func SeedsFrom(self membership.DaemonID, peers []netip.AddrPort, vms platform.VMLister) func(context.Context) ([]membership.Member, error) {
+	return seedLister{self: self, peers: peers, vms: vms}.list
+}
+
 // seedLister names daemons that may exist: those of the settings and of the platform's VM
 // list. Without the platform the settings alone are used.
 type seedLister struct {
--- a/standin/loadgen/session.go
+++ b/standin/loadgen/session.go
@@ -18,8 +18,6 @@
 	rec    *recorder
 	rng    *rand.Rand
 	flow   *caller.Flow
-	// lastID follows the ids that the flow gives its requests; they are sent one at a time.
-	lastID uint64
 	lost   int
 	long   bool
 }
@@ -122,13 +120,12 @@
 		// The flow ended before the request got an id.
 		return !s.checkBroken() && ctx.Err() == nil
 	}
-	s.lastID++
 	result := outcome{
-		name: upstream.RunName(s.flow.Key().String(), s.lastID), answer: answer,
+		name: upstream.RunName(s.flow.Key().String(), answer.RequestID), answer: answer,
 		idempotent: idempotent, latency: time.Since(start), local: err != nil,
 	}
 	if err == nil && answer.Status == pb.Status_STATUS_OK {
-		result.wrong = upstream.VerifyAnswer(s.flow.Key(), s.lastID, payload, answer.Payload) != nil
+		result.wrong = upstream.VerifyAnswer(s.flow.Key(), answer.RequestID, payload, answer.Payload) != nil
 	}
 	s.rec.finished(s, result)
 	if s.checkBroken() || err != nil {
--- /dev/null
+++ b/test/golden/florist_test.go
@@ -0,0 +1,111 @@
+package golden
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/wire"
+)
+
+// lateAnswers delays the datagrams of multi-part answers so that they arrive out of order.
+func lateAnswers(_, _ netip.AddrPort, data []byte, delay time.Duration) []time.Duration {
+	p, err := wire.DecodePacket(data)
+	if err != nil || p.GetKind() != pb.Kind_KIND_ANSWER || p.GetParts() < 2 {
+		return []time.Duration{delay}
+	}
+	// The first part comes last.
+	return []time.Duration{delay + time.Duration(p.GetParts()-p.GetPart())*40*time.Millisecond}
+}
+
+// Guards the florist's session against a planned change, a death, a store outage, answers out
+// of order, a lost commit answer and two operators at once.
+func TestFloristDay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSession(t, "../../deployments/hopkrans-hoeve.yaml", 1)
+		defer s.Close()
+		r, err := s.Apply(context.Background(), "schuur-1", "apply-1", "anna")
+		s.g.Expect(err).NotTo(gomega.HaveOccurred())
+		s.log("operator anna: apply hopkrans-hoeve.yaml [apply-1]: generation %d, in force on %d daemons", r.GetGeneration(), len(r.GetInForce()))
+		time.Sleep(2 * time.Second)
+
+		florist := s.open("florist", "bindery")
+		photos := s.open("shopper", "galerij")
+		florist.request("stock feed", true, 0)
+		florist.request("order of 3 wreaths", false, 0)
+		photos.request("photo of a wreath", true, 3000)
+
+		on := s.upstreamOf(florist)
+		s.log("the florist's session is on %s", on)
+		s.command("anna", "schuur-1", "drain upstream "+on, "drain-1")
+		time.Sleep(4 * time.Second)
+		florist.request("order of 2 wreaths", false, 0)
+		s.log("the florist's session is still on %s: %t", on, s.upstreamOf(florist) == on)
+
+		s.Kill("winkel-2")
+		s.log("daemon winkel-2 is killed")
+		time.Sleep(5 * time.Second)
+		florist.request("order of 5 wreaths", false, 0)
+		photos.request("photo of a bine", true, 3000)
+
+		s.Platform.SetOutage(true)
+		s.log("the platform is down")
+		s.command("anna", "schuur-1", "set aim of galerij balance", "aim-1")
+		florist.request("stock feed", true, 0)
+		florist.request("order of 1 wreath", false, 0)
+		s.query("anna", "droogvloer-1", "show change drain-1")
+		s.Platform.SetOutage(false)
+		s.log("the platform is back")
+		time.Sleep(10 * time.Second)
+
+		s.Tamper(lateAnswers)
+		s.log("parts of answers arrive late and in reverse order")
+		photos.request("photo album", true, 4000)
+		s.Tamper(nil)
+
+		s.Platform.LoseAnswers(1)
+		s.log("the next answer of the store to a write is lost")
+		s.command("anna", "schuur-1", "undrain upstream "+on, "undrain-1")
+
+		twoOperators(s)
+		time.Sleep(3 * time.Second)
+		florist.request("order of 4 wreaths", false, 0)
+		s.query("anna", "schuur-1", "show services")
+		s.audit()
+		s.check("florist-day")
+	})
+}
+
+// twoOperators lets two operators change the same upstreams at the same moment.
+func twoOperators(s *session) {
+	type result struct {
+		author  string
+		outcome *pb.RunResponse
+	}
+	results := make(chan result, 2)
+	for author, at := range map[string]string{"anna": "schuur-1", "bram": "droogvloer-2"} {
+		go func() {
+			r, err := s.Run(context.Background(), at, "set limit of bindery queue-length "+map[string]string{"anna": "32", "bram": "48"}[author], "limit-"+author, author)
+			if err != nil {
+				s.t.Error(err)
+			}
+			results <- result{author, r}
+		}()
+	}
+	committed := 0
+	for range 2 {
+		r := <-results
+		if r.outcome.GetOutcome() == pb.Outcome_OUTCOME_COMMITTED {
+			committed++
+		} else if r.outcome.GetOutcome() != pb.Outcome_OUTCOME_REFUSED || r.outcome.GetReason() == "" {
+			s.t.Errorf("operator %s: %s without a reason", r.author, r.outcome.GetOutcome())
+		}
+	}
+	s.g.Expect(committed).To(gomega.BeNumerically(">=", 1))
+	s.log("operators anna and bram set a limit of bindery at once: committed %d, refused with the conflict %d", committed, 2-committed)
+}
--- /dev/null
+++ b/test/golden/session_test.go
@@ -0,0 +1,161 @@
+package golden
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/sebdah/goldie/v2"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/caller"
+	"github.com/fulmarfield/fulmarfield/client"
+	"github.com/fulmarfield/fulmarfield/standin/upstream"
+	"github.com/fulmarfield/fulmarfield/telemetry"
+	"github.com/fulmarfield/fulmarfield/test/testcluster"
+)
+
+// session records what operators and callers see, one line an event, in virtual time.
+type session struct {
+	*testcluster.Cluster
+	g     *gomega.WithT
+	t     *testing.T
+	start time.Time
+	lines []string
+}
+
+func newSession(t *testing.T, declaration string, seed uint64) *session {
+	c := testcluster.Start(t, testcluster.Options{Declaration: declaration, Seed: seed})
+	s := &session{Cluster: c, g: gomega.NewWithT(t), t: t, start: time.Now()}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log("session so far:\n" + strings.Join(s.lines, "\n"))
+		}
+	})
+	return s
+}
+
+func (s *session) log(format string, args ...any) {
+	at := time.Since(s.start).Round(time.Second)
+	s.lines = append(s.lines, fmt.Sprintf("%5s  ", at)+fmt.Sprintf(format, args...))
+}
+
+// check compares the recorded lines with the golden file.
+func (s *session) check(name string) {
+	goldie.New(s.t, goldie.WithNameSuffix(".golden"), goldie.WithDiffEngine(goldie.ColoredDiff)).
+		Assert(s.t, name, []byte(strings.Join(s.lines, "\n")+"\n"))
+}
+
+// flow is a caller's open session.
+type flow struct {
+	*caller.Flow
+	s       *session
+	caller  string
+	service string
+	next    int
+}
+
+func (s *session) open(name, service string) *flow {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	f, err := s.Open(ctx, service)
+	s.g.Expect(err).NotTo(gomega.HaveOccurred())
+	s.log("%s opens a session with %s", name, service)
+	return &flow{Flow: f, s: s, caller: name, service: service}
+}
+
+// upstreamOf returns the name of the upstream that a flow is on.
+func (s *session) upstreamOf(f *flow) string {
+	for name, u := range s.Upstreams {
+		for run := range u.Report(true).Runs {
+			if strings.HasPrefix(run, f.Key().String()+"#") {
+				return name
+			}
+		}
+	}
+	s.t.Fatalf("no upstream has run a request of %s", f.caller)
+	return ""
+}
+
+// request sends one request and logs its answer; whole says that the answer's digest is right.
+func (f *flow) request(what string, idempotent bool, answerBytes uint32) pb.Status {
+	f.next++
+	payload := upstream.RequestPayload(answerBytes, []byte(fmt.Sprintf("%s %d", what, f.next)))
+	a, err := f.Request(context.Background(), caller.Request{Payload: payload, Idempotent: idempotent, Deadline: 5 * time.Second})
+	if err != nil {
+		f.s.log("%s: %s: %v", f.caller, what, err)
+		return pb.Status_STATUS_UNSPECIFIED
+	}
+	if a.Status != pb.Status_STATUS_OK {
+		f.s.log("%s: %s: %s (%s)", f.caller, what, statusName(a.Status), telemetry.ReasonName(a.Reason))
+		return a.Status
+	}
+	whole := "whole answer to this request"
+	if err := upstream.VerifyAnswer(f.Key(), a.RequestID, payload, a.Payload); err != nil {
+		whole = "WRONG ANSWER: " + err.Error()
+		f.s.t.Errorf("%s %s: %v", f.caller, what, err)
+	}
+	f.s.log("%s: %s: ok, %s", f.caller, what, whole)
+	return a.Status
+}
+
+func statusName(s pb.Status) string {
+	return strings.ToLower(strings.TrimPrefix(s.String(), "STATUS_"))
+}
+
+// command runs an operator's line and logs the outcome and where it is in force.
+func (s *session) command(author, at, line, changeID string) *pb.RunResponse {
+	r, err := s.Run(context.Background(), at, line, changeID, author)
+	s.g.Expect(err).NotTo(gomega.HaveOccurred())
+	text := client.OutcomeName(r.GetOutcome())
+	if r.GetReason() != "" {
+		text += ": " + r.GetReason()
+	}
+	if len(r.GetInForce()) > 0 {
+		text += fmt.Sprintf(", in force on %d daemons", len(r.GetInForce()))
+	}
+	if len(r.GetNotConfirmed()) > 0 {
+		text += ", not confirmed by " + strings.Join(r.GetNotConfirmed(), " ")
+	}
+	s.log("operator %s: %s [%s]: %s", author, line, changeID, text)
+	return r
+}
+
+// query logs the rows of a query.
+func (s *session) query(author, at, line string) {
+	r, err := s.Run(context.Background(), at, line, "", author)
+	s.g.Expect(err).NotTo(gomega.HaveOccurred())
+	s.log("operator %s: %s", author, line)
+	for _, row := range r.GetTable().GetRows() {
+		s.log("    %s", strings.Join(row.GetCells(), " | "))
+	}
+	s.log("    generation %d; missing: %s", r.GetBasis().GetGeneration(), strings.Join(r.GetBasis().GetMissing(), " "))
+}
+
+// audit asserts what must hold at the end of each session, and logs it.
+func (s *session) audit() {
+	runs, wrong := 0, int64(0)
+	counts := map[string]int{}
+	for _, u := range s.Upstreams {
+		report := u.Report(true)
+		wrong += report.WrongService
+		for name, run := range report.Runs {
+			if !run.Idempotent {
+				counts[name] += run.Count
+				runs++
+			}
+		}
+	}
+	twice := 0
+	for name, n := range counts {
+		if n > 1 {
+			twice++
+			s.t.Errorf("%s ran %d times", name, n)
+		}
+	}
+	s.g.Expect(wrong).To(gomega.BeZero(), "packets reached an upstream of another service")
+	s.log("audit: %d non-idempotent requests ran, %d of them twice; %d packets to a wrong service", runs, twice, wrong)
+}
--- /dev/null
+++ b/test/testcluster/clients.go
@@ -0,0 +1,141 @@
+package testcluster
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/api/fulmarfield/v1/fulmarfieldv1connect"
+	"github.com/fulmarfield/fulmarfield/membership"
+	"github.com/fulmarfield/fulmarfield/peer"
+)
+
+// unreachableDelay is how long a call to a VM that cannot be reached takes to fail, if its
+// context does not end before.
+const unreachableDelay = time.Second
+
+var errUnreachable = errors.New("VM cannot be reached")
+
+// clients makes calls to other daemons of the cluster without HTTP.
+type clients struct {
+	cluster *Cluster
+	self    netip.Addr
+	viewer  membership.Viewer
+}
+
+func (c *clients) Client(id membership.DaemonID) (fulmarfieldv1connect.PeerServiceClient, error) {
+	if _, ok := c.viewer.View().Member(id); !ok {
+		return nil, peer.ErrUnknownPeer
+	}
+	return &remote{c, c.cluster.Daemon(string(id))}, nil
+}
+
+func (c *clients) Claim(ctx context.Context, to membership.DaemonID, r *pb.ClaimRequest) (*pb.ClaimResponse, error) {
+	client, err := c.Client(to)
+	if err != nil {
+		return nil, err
+	}
+	return message(client.Claim(ctx, connect.NewRequest(r)))
+}
+
+func (c *clients) Offer(ctx context.Context, to membership.DaemonID, r *pb.OfferRequest) (*pb.OfferResponse, error) {
+	client, err := c.Client(to)
+	if err != nil {
+		return nil, err
+	}
+	return message(client.Offer(ctx, connect.NewRequest(r)))
+}
+
+func (c *clients) FetchView(ctx context.Context, from membership.Member, r *pb.GetViewRequest) (*pb.GetViewResponse, error) {
+	for _, d := range c.cluster.Live() {
+		if d.Member.ControlAddress == from.ControlAddress {
+			return message((&remote{c, d}).GetView(ctx, connect.NewRequest(r)))
+		}
+	}
+	return message(call(ctx, c, nil, func(fulmarfieldv1connect.PeerServiceHandler) (*connect.Response[pb.GetViewResponse], error) {
+		return nil, errUnreachable
+	}))
+}
+
+func message[T any](r *connect.Response[T], err error) (*T, error) {
+	if err != nil {
+		return nil, err
+	}
+	return r.Msg, nil
+}
+
+// remote is one daemon as another one reaches it.
+type remote struct {
+	from *clients
+	to   *Daemon
+}
+
+// call makes one call with the latency of both directions; the answer is lost when a cut or a
+// death comes before it arrives.
+func call[T any](ctx context.Context, from *clients, to *Daemon, do func(fulmarfieldv1connect.PeerServiceHandler) (*connect.Response[T], error)) (*connect.Response[T], error) {
+	if to == nil || !from.reaches(to) {
+		return nil, fail(ctx)
+	}
+	time.Sleep(latencyZones)
+	r, err := do(to.Node.PeerService())
+	time.Sleep(latencyZones)
+	if !from.reaches(to) {
+		return nil, fail(ctx)
+	}
+	return r, err
+}
+
+func (c *clients) reaches(to *Daemon) bool {
+	c.cluster.mu.Lock()
+	alive := to.alive
+	c.cluster.mu.Unlock()
+	return alive && !c.cluster.isCut(c.self, to.Member.PeerAddress.Addr())
+}
+
+func fail(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-time.After(unreachableDelay):
+	}
+	return connect.NewError(connect.CodeUnavailable, errUnreachable)
+}
+
+func (r *remote) GetConfiguration(ctx context.Context, q *connect.Request[pb.GetConfigurationRequest]) (*connect.Response[pb.GetConfigurationResponse], error) {
+	return call(ctx, r.from, r.to, func(h fulmarfieldv1connect.PeerServiceHandler) (*connect.Response[pb.GetConfigurationResponse], error) {
+		return h.GetConfiguration(ctx, q)
+	})
+}
+
+func (r *remote) PushConfiguration(ctx context.Context, q *connect.Request[pb.PushConfigurationRequest]) (*connect.Response[pb.PushConfigurationResponse], error) {
+	return call(ctx, r.from, r.to, func(h fulmarfieldv1connect.PeerServiceHandler) (*connect.Response[pb.PushConfigurationResponse], error) {
+		return h.PushConfiguration(ctx, q)
+	})
+}
+
+func (r *remote) Claim(ctx context.Context, q *connect.Request[pb.ClaimRequest]) (*connect.Response[pb.ClaimResponse], error) {
+	return call(ctx, r.from, r.to, func(h fulmarfieldv1connect.PeerServiceHandler) (*connect.Response[pb.ClaimResponse], error) {
+		return h.Claim(ctx, q)
+	})
+}
+
+func (r *remote) Offer(ctx context.Context, q *connect.Request[pb.OfferRequest]) (*connect.Response[pb.OfferResponse], error) {
+	return call(ctx, r.from, r.to, func(h fulmarfieldv1connect.PeerServiceHandler) (*connect.Response[pb.OfferResponse], error) {
+		return h.Offer(ctx, q)
+	})
+}
+
+func (r *remote) GetView(ctx context.Context, q *connect.Request[pb.GetViewRequest]) (*connect.Response[pb.GetViewResponse], error) {
+	return call(ctx, r.from, r.to, func(h fulmarfieldv1connect.PeerServiceHandler) (*connect.Response[pb.GetViewResponse], error) {
+		return h.GetView(ctx, q)
+	})
+}
+
+func (r *remote) Status(ctx context.Context, q *connect.Request[pb.StatusRequest]) (*connect.Response[pb.StatusResponse], error) {
+	return call(ctx, r.from, r.to, func(h fulmarfieldv1connect.PeerServiceHandler) (*connect.Response[pb.StatusResponse], error) {
+		return h.Status(ctx, q)
+	})
+}
--- /dev/null
+++ b/test/testcluster/cluster.go
@@ -0,0 +1,440 @@
+// Package testcluster runs a whole deployment in one process on an in-memory network, for
+// tests in virtual time: daemons, upstreams, the platform and the fabric. It owns the cuts
+// between zones and the state of each daemon.
+package testcluster
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rs/zerolog"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/caller"
+	"github.com/fulmarfield/fulmarfield/config/declaration"
+	"github.com/fulmarfield/fulmarfield/daemon"
+	"github.com/fulmarfield/fulmarfield/membership"
+	"github.com/fulmarfield/fulmarfield/platform"
+	standinplatform "github.com/fulmarfield/fulmarfield/standin/platform"
+	"github.com/fulmarfield/fulmarfield/standin/upstream"
+	"github.com/fulmarfield/fulmarfield/telemetry"
+	"github.com/fulmarfield/fulmarfield/wire"
+	"github.com/fulmarfield/fulmarfield/wire/memnet"
+)
+
+// One-way latencies of the deployments.
+const (
+	latencyInZone = 100 * time.Microsecond
+	latencyZones  = 500 * time.Microsecond
+	latencyCaller = 3 * time.Millisecond
+)
+
+// Ports of a daemon.
+const (
+	dataPort    = 7000
+	peerPort    = 7001
+	controlPort = 7002
+)
+
+// PlatformZone is the zone number of the platform, for cuts.
+const PlatformZone = 99
+
+// Options of a cluster.
+type Options struct {
+	// Declaration is the path of the deployment's file.
+	Declaration string
+	Seed        uint64
+	MeanService time.Duration
+	// Log receives the daemons' log lines; nil discards them.
+	Log *os.File
+}
+
+// Cluster is a running deployment.
+type Cluster struct {
+	Platform    *standinplatform.Platform
+	Upstreams   map[string]*upstream.Upstream
+	Declaration *declaration.Declaration
+	File        []byte
+
+	t         *testing.T
+	options   Options
+	network   *memnet.Network
+	mu        sync.Mutex
+	rng       *rand.Rand
+	daemons   map[string]*Daemon
+	cuts      map[[2]int]bool
+	tamper    func(from, to netip.AddrPort, data []byte, delay time.Duration) []time.Duration
+	callers   uint16
+	shutdowns []func()
+	wg        sync.WaitGroup
+}
+
+// Daemon is one balancer of the cluster.
+type Daemon struct {
+	Node   *daemon.Node
+	Member membership.Member
+	alive  bool
+	inUse  bool // in the fabric's list
+	cancel context.CancelFunc
+}
+
+// Start builds the deployment and applies its declaration. It must be called in a synctest
+// bubble; Close ends everything.
+func Start(t *testing.T, o Options) *Cluster {
+	t.Helper()
+	data, err := os.ReadFile(o.Declaration)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, errs := declaration.Parse(o.Declaration, data)
+	if len(errs) > 0 {
+		t.Fatal(errs)
+	}
+	if o.MeanService == 0 {
+		o.MeanService = 8 * time.Millisecond
+	}
+	c := &Cluster{
+		Platform: standinplatform.New(standinplatform.Options{}), Upstreams: map[string]*upstream.Upstream{},
+		Declaration: d, File: data, t: t, options: o, rng: rand.New(rand.NewPCG(o.Seed, 7)),
+		daemons: map[string]*Daemon{}, cuts: map[[2]int]bool{},
+	}
+	c.network = memnet.New(c.policy)
+	c.Platform.PutDeployment(d)
+	for _, s := range d.Services {
+		c.startFabric(s.Address)
+	}
+	for i, u := range d.Upstreams {
+		c.StartUpstream(u, uint64(i))
+	}
+	for _, dd := range d.Daemons {
+		c.StartDaemon(dd.Name, dd.Zone, dd.Address)
+	}
+	time.Sleep(3 * time.Second)
+	return c
+}
+
+// Close ends all daemons, upstreams and the fabric.
+func (c *Cluster) Close() {
+	c.mu.Lock()
+	for _, d := range c.daemons {
+		if d.alive {
+			d.alive = false
+			d.cancel()
+		}
+	}
+	shutdowns := c.shutdowns
+	c.mu.Unlock()
+	for _, f := range shutdowns {
+		f()
+	}
+	c.wg.Wait()
+}
+
+// zoneOf returns the zone number of an address, 0 for callers and service addresses.
+func zoneOf(a netip.Addr) int {
+	b := a.As4()
+	if b[1] == 1 {
+		return int(b[2])
+	}
+	return 0
+}
+
+func (c *Cluster) policy(from, to netip.AddrPort, data []byte) []time.Duration {
+	a, b := zoneOf(from.Addr()), zoneOf(to.Addr())
+	delay := latencyZones
+	switch {
+	case a == 0 && b == 0:
+		delay = latencyCaller
+	case a == 0 || b == 0:
+		// Half of the way between a caller and a VM; the fabric is the other half.
+		delay = latencyCaller / 2
+	case a == b:
+		delay = latencyInZone
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if a != 0 && b != 0 && c.cuts[cutKey(a, b)] {
+		return nil
+	}
+	if c.tamper != nil {
+		return c.tamper(from, to, data, delay)
+	}
+	return []time.Duration{delay}
+}
+
+func cutKey(a, b int) [2]int { return [2]int{min(a, b), max(a, b)} }
+
+// Tamper sets a function that may drop, delay or duplicate datagrams; nil removes it.
+func (c *Cluster) Tamper(f func(from, to netip.AddrPort, data []byte, delay time.Duration) []time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tamper = f
+}
+
+// Cut separates two zones by number; zone 99 is the platform.
+func (c *Cluster) Cut(a, b int) { c.setCut(a, b, true) }
+
+// Heal ends a cut.
+func (c *Cluster) Heal(a, b int) { c.setCut(a, b, false) }
+
+func (c *Cluster) setCut(a, b int, on bool) {
+	c.mu.Lock()
+	c.cuts[cutKey(a, b)] = on
+	var prefixes []netip.Prefix
+	for k, cut := range c.cuts {
+		if cut && k[1] == PlatformZone {
+			prefixes = append(prefixes, netip.PrefixFrom(netip.AddrFrom4([4]byte{127, 1, byte(k[0]), 0}), 24))
+		}
+	}
+	c.mu.Unlock()
+	c.Platform.SetCut(prefixes...)
+}
+
+func (c *Cluster) isCut(a, b netip.Addr) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cuts[cutKey(zoneOf(a), zoneOf(b))]
+}
+
+// startFabric hands each datagram at a service address to any daemon in use that the sender's
+// zone reaches, each independently.
+func (c *Cluster) startFabric(address netip.AddrPort) {
+	conn := c.listen(address)
+	c.onClose(conn)
+	c.wg.Go(func() {
+		batch := make([]wire.Datagram, 64)
+		for {
+			n, err := conn.ReadBatch(batch)
+			if err != nil {
+				return
+			}
+			for _, d := range batch[:n] {
+				if to, ok := c.pick(d.Addr.Addr()); ok {
+					_ = conn.Send(to, d.Data)
+				}
+			}
+		}
+	})
+}
+
+func (c *Cluster) pick(from netip.Addr) (netip.AddrPort, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var usable []netip.Addr
+	for _, dd := range c.Declaration.Daemons {
+		usable = c.appendUsable(usable, from, c.daemons[dd.Name])
+	}
+	for _, name := range c.extra() {
+		usable = c.appendUsable(usable, from, c.daemons[name])
+	}
+	if len(usable) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return netip.AddrPortFrom(usable[c.rng.IntN(len(usable))], dataPort), true
+}
+
+func (c *Cluster) appendUsable(list []netip.Addr, from netip.Addr, d *Daemon) []netip.Addr {
+	if d == nil || !d.inUse {
+		return list
+	}
+	to := d.Member.PeerAddress.Addr()
+	if a := zoneOf(from); a != 0 && c.cuts[cutKey(a, zoneOf(to))] {
+		return list
+	}
+	return append(list, to)
+}
+
+// extra lists daemons that were added after the start, in order of their names.
+func (c *Cluster) extra() []string {
+	var names []string
+	for _, z := range c.Declaration.Zones {
+		for i := 3; i < 9; i++ {
+			if name := fmt.Sprintf("%s-%d", z, i); c.daemons[name] != nil {
+				names = append(names, name)
+			}
+		}
+	}
+	return names
+}
+
+func (c *Cluster) listen(address netip.AddrPort) wire.Conn {
+	conn, err := c.network.Listen(address)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return conn
+}
+
+func (c *Cluster) onClose(conn wire.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.shutdowns = append(c.shutdowns, func() { _ = conn.Close() })
+}
+
+// StartUpstream starts the stand-in of a declared upstream.
+func (c *Cluster) StartUpstream(u declaration.Upstream, seed uint64) *upstream.Upstream {
+	var service netip.AddrPort
+	for _, s := range c.Declaration.Services {
+		if s.Name == u.Service {
+			service = s.Address
+		}
+	}
+	conn := c.listen(u.Address)
+	up := upstream.New(upstream.Config{
+		Name: u.Name, Service: service, Slots: int(u.Slots), Queue: 2, MeanService: c.options.MeanService,
+		Distribution: upstream.Constant, Seed: c.options.Seed + seed, Log: zerolog.Nop(),
+	}, conn)
+	c.wg.Go(func() { _ = up.Run() })
+	c.mu.Lock()
+	c.shutdowns = append(c.shutdowns, func() { _ = up.Close() })
+	c.mu.Unlock()
+	c.Upstreams[u.Name] = up
+	return up
+}
+
+// StartDaemon starts a daemon, lists its VM and adds it to the fabric's list.
+func (c *Cluster) StartDaemon(name, zone string, address netip.Addr) *Daemon {
+	member := membership.Member{
+		ID: membership.DaemonID(name), Zone: zone,
+		PeerAddress: netip.AddrPortFrom(address, peerPort), ControlAddress: netip.AddrPortFrom(address, controlPort),
+		Incarnation: uint64(time.Now().UnixNano()),
+	}
+	c.Platform.PutVM(platform.VM{
+		Name: name, Kind: platform.KindDaemon, Zone: zone, PeerAddress: member.PeerAddress,
+		ControlAddress: member.ControlAddress, DataAddress: netip.AddrPortFrom(address, dataPort), State: platform.StateLive,
+	})
+	log := zerolog.Nop()
+	if c.options.Log != nil {
+		log = zerolog.New(c.options.Log).With().Str("daemon", name).Timestamp().Logger()
+	}
+	store := c.Platform.Store(address)
+	node := daemon.NewNode(daemon.Options{
+		Self: member, Key: []byte("a key of at least 16 bytes"), Store: store,
+		DataConn: c.listen(netip.AddrPortFrom(address, dataPort)), PeerConn: c.listen(member.PeerAddress),
+		Seeds: daemon.SeedsFrom(member.ID, nil, store),
+		Clients: func(v membership.Viewer) daemon.Clients {
+			return &clients{cluster: c, self: address, viewer: v}
+		},
+		Counters: telemetry.NewCounters(), Logger: log, Seed: c.options.Seed,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &Daemon{Node: node, Member: member, alive: true, inUse: true, cancel: cancel}
+	c.mu.Lock()
+	c.daemons[name] = d
+	c.mu.Unlock()
+	c.wg.Go(func() {
+		if err := node.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
+			c.t.Errorf("daemon %s: %v", name, err)
+		}
+	})
+	return d
+}
+
+// Daemon returns a daemon by name.
+func (c *Cluster) Daemon(name string) *Daemon {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.daemons[name]
+}
+
+// Live returns the daemons that are alive, in order of their names.
+func (c *Cluster) Live() []*Daemon {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var live []*Daemon
+	for _, dd := range c.Declaration.Daemons {
+		if d := c.daemons[dd.Name]; d != nil && d.alive {
+			live = append(live, d)
+		}
+	}
+	for _, name := range c.extra() {
+		if d := c.daemons[name]; d.alive {
+			live = append(live, d)
+		}
+	}
+	return live
+}
+
+// withdrawAfter is how long the fabric sends packets to a daemon that died.
+const withdrawAfter = time.Second
+
+// Kill ends a daemon at once; its memory is lost. The fabric notices after a second.
+func (c *Cluster) Kill(name string) {
+	c.mu.Lock()
+	d := c.daemons[name]
+	d.alive = false
+	c.mu.Unlock()
+	d.cancel()
+	time.AfterFunc(withdrawAfter, func() { c.Withdraw(name) })
+}
+
+// Withdraw takes a daemon off the fabric's list.
+func (c *Cluster) Withdraw(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.daemons[name].inUse = false
+}
+
+// Stop shuts a daemon down gracefully.
+func (c *Cluster) Stop(ctx context.Context, name string) error {
+	d := c.Daemon(name)
+	c.Withdraw(name)
+	err := d.Node.Leave(ctx)
+	c.mu.Lock()
+	d.alive = false
+	c.mu.Unlock()
+	d.cancel()
+	c.Platform.RemoveVM(name)
+	return err
+}
+
+// Open opens a flow to a service from a new caller address.
+func (c *Cluster) Open(ctx context.Context, service string) (*caller.Flow, error) {
+	c.mu.Lock()
+	c.callers++
+	n := c.callers
+	seed := c.rng.Uint64()
+	c.mu.Unlock()
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 9, byte(n >> 8), byte(n)}), 40000)
+	for _, s := range c.Declaration.Services {
+		if s.Name == service {
+			conn := c.listen(address)
+			c.onClose(conn)
+			return caller.New(caller.Options{
+				Conn: conn, Service: s.Address, Logger: zerolog.Nop(),
+				Counters: telemetry.NewCounters(), Rand: rand.New(rand.NewPCG(seed, 1)),
+			}).Open(ctx)
+		}
+	}
+	return nil, fmt.Errorf("service %s is not declared", service)
+}
+
+// Run sends one line of the operators' language to a daemon.
+func (c *Cluster) Run(ctx context.Context, daemonName, line, changeID, author string) (*pb.RunResponse, error) {
+	r, err := c.Daemon(daemonName).Node.OperatorService().Run(ctx, connect.NewRequest(&pb.RunRequest{
+		Line: line, ChangeId: changeID, Author: author, WaitMs: 3000,
+	}))
+	if err != nil {
+		return nil, err
+	}
+	return r.Msg, nil
+}
+
+// Apply applies a declaration at a daemon.
+func (c *Cluster) Apply(ctx context.Context, daemonName, changeID, author string) (*pb.ApplyResponse, error) {
+	r, err := c.Daemon(daemonName).Node.OperatorService().Apply(ctx, connect.NewRequest(&pb.ApplyRequest{
+		FileName: c.options.Declaration, Declaration: c.File, ChangeId: changeID, Author: author, WaitMs: 3000,
+	}))
+	if err != nil {
+		return nil, err
+	}
+	return r.Msg, nil
+}
