Test configuration relay over fleets in virtual time

Cause: the relay had no test of its failures or of its store calls. Change: fleets of 6 to 96 relays with probes and peer calls in virtual time; a watch that ends at once without a change now backs off, and a store with an older generation is counted. Each test fails without its mechanism: no check of the generation in install (never reverts), no question to the first peers (restart during an outage), no pull after a probe (zone cut from the platform), every daemon a watcher (store calls), no poll (daemon that hears nothing). Conclusion: store calls depend on the zones alone.

--- /dev/null
+++ b/config/relay/relay_test.go
@@ -0,0 +1,169 @@
+package relay_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/config/commit"
+	"github.com/fulmarfield/fulmarfield/membership"
+	"github.com/fulmarfield/fulmarfield/platform"
+)
+
+// Guards against store calls that grow with the fleet, and against changes that take longer
+// than the 2 s of the design to come into force.
+func TestStoreCallsAreConstantInTheSizeOfTheFleet(t *testing.T) {
+	const changes, pause = 30, 2 * time.Second
+	rates := map[int]float64{}
+	for _, size := range []int{6, 12, 24, 96} {
+		runFleet(t, size, func(g Gomega, f *fleet) {
+			time.Sleep(20 * time.Second)
+			g.Expect(f.watchers()).To(Equal(watcherCount))
+			f.platform.SetDelay(10 * time.Millisecond)
+			f.platform.ResetCalls()
+			start := time.Now()
+			time.Sleep(5 * time.Minute)
+			idle := total(f.platform.Calls()) / time.Since(start).Seconds()
+			f.platform.ResetCalls()
+			start = time.Now()
+			slowest := time.Duration(0)
+			for i := range changes {
+				f.commit(fmt.Sprintf("more-%d", i), i%7+3)
+				slowest = max(slowest, f.waitAll(uint64(i+2), 2*time.Second))
+				time.Sleep(pause)
+			}
+			calls := f.platform.Calls()
+			rates[size] = total(calls) / time.Since(start).Seconds()
+			t.Logf("%d daemons: idle %.3f calls/s, at %d changes %.2f calls/s %v, slowest change %v",
+				size, idle, changes, rates[size], calls, slowest)
+		})
+	}
+	g := NewWithT(t)
+	g.Expect(rates[24]).To(BeNumerically("~", rates[6], rates[6]*0.1))
+	g.Expect(rates[96]).To(BeNumerically("~", rates[6], rates[6]*0.1))
+}
+
+func total(calls map[string]int64) float64 {
+	sum := int64(0)
+	for _, n := range calls {
+		sum += n
+	}
+	return float64(sum)
+}
+
+// Guards against a daemon without configuration after a restart while the store is down.
+func TestRestartedDaemonTakesThePeersGenerationDuringAnOutage(t *testing.T) {
+	runFleet(t, 6, func(g Gomega, f *fleet) {
+		f.commit("second", 3)
+		f.waitAll(2, 2*time.Second)
+		f.platform.SetOutage(true)
+		f.kill("zone-2-1")
+		time.Sleep(time.Second)
+		f.silenceProbes(true)
+		d := f.start(1)
+		g.Expect(d.Current().Generation()).To(BeZero())
+		f.waitAll(2, 2*time.Second)
+		time.Sleep(time.Minute)
+		g.Expect(d.PlatformReachable()).To(BeFalse())
+		f.silenceProbes(false)
+		f.platform.SetOutage(false)
+		f.commit("third", 4)
+		f.waitAll(3, 20*time.Second)
+		// The daemon may have learnt of it from a peer while its own watch still backs off.
+		time.Sleep(20 * time.Second)
+		g.Expect(d.PlatformReachable()).To(BeTrue())
+	})
+}
+
+// Guards against a configuration that reverts when an older one is pushed, is returned by a
+// peer, or is what a restored store holds.
+func TestGenerationNeverReverts(t *testing.T) {
+	runFleet(t, 6, func(g Gomega, f *fleet) {
+		old, err := commit.Load(f.ctx, f.operator)
+		g.Expect(err).NotTo(HaveOccurred())
+		oldHead, err := f.operator.Get(f.ctx, commit.HeadKey)
+		g.Expect(err).NotTo(HaveOccurred())
+		for i := range 5 {
+			f.commit(fmt.Sprintf("more-%d", i), 3+i)
+		}
+		f.waitAll(6, 2*time.Second)
+		for _, d := range f.all() {
+			response := d.HandlePush(&pb.PushConfigurationRequest{Configuration: proto.CloneOf(old)})
+			g.Expect(response.GetGeneration()).To(BeEquivalentTo(6))
+			d.OnPeerGeneration("zone-1-1", 1)
+		}
+		_, err = f.operator.Put(f.ctx, commit.HeadKey, oldHead.Value, platform.Always())
+		g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(time.Minute)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for _, d := range f.daemons {
+			g.Expect(d.Current().Generation()).To(BeEquivalentTo(6))
+			for i := 1; i < len(d.inForce); i++ {
+				g.Expect(d.inForce[i].generation).To(BeNumerically(">", d.inForce[i-1].generation))
+			}
+		}
+	})
+}
+
+// Guards against a zone that misses changes while it is cut from the platform but not from
+// the other zones.
+func TestZoneCutFromThePlatformLearnsFromPeers(t *testing.T) {
+	runFleet(t, 12, func(_ Gomega, f *fleet) {
+		f.platform.SetCut(netip.MustParsePrefix("127.0.2.0/24"))
+		time.Sleep(time.Minute)
+		f.commit("second", 3)
+		f.waitAll(2, 4*time.Second)
+	})
+}
+
+// Guards against changes that stop when watchers die, and against a third watcher.
+func TestNextDaemonTakesTheWatchOver(t *testing.T) {
+	runFleet(t, 12, func(g Gomega, f *fleet) {
+		time.Sleep(2 * time.Second)
+		for _, d := range f.all() {
+			if d.IsWatcher() {
+				f.kill(d.member.ID)
+			}
+		}
+		time.Sleep(time.Second)
+		f.commit("second", 3)
+		f.waitAll(2, 2*time.Second)
+		time.Sleep(2 * time.Second)
+		g.Expect(f.watchers()).To(Equal(watcherCount))
+	})
+}
+
+// Guards against a daemon that stays without configuration when no peer answers it and it is
+// no watcher: it polls the store.
+func TestDaemonThatHearsNothingPollsTheStore(t *testing.T) {
+	runFleet(t, 24, func(g Gomega, f *fleet) {
+		time.Sleep(2 * time.Second)
+		last := membership.DaemonID("")
+		for _, d := range f.all() {
+			if !d.IsWatcher() && d.member.Zone == "zone-1" {
+				last = d.member.ID
+			}
+		}
+		f.mu.Lock()
+		f.noProbes, f.noCalls = true, true
+		f.mu.Unlock()
+		f.kill(last)
+		var number int
+		_, err := fmt.Sscanf(string(last), "zone-1-%d", &number)
+		g.Expect(err).NotTo(HaveOccurred())
+		f.platform.SetOutage(true)
+		d := f.start((number - 1) * zones)
+		time.Sleep(time.Minute)
+		g.Expect(d.Current().Generation()).To(BeZero())
+		g.Expect(d.counters.Get("retry.config_poll")).To(BeNumerically("~", 5, 3), "polls back off during an outage")
+		f.platform.SetOutage(false)
+		f.waitAll(1, 20*time.Second)
+		g.Expect(d.IsWatcher()).To(BeFalse())
+	})
+}
--- a/config/relay/watch.go
+++ b/config/relay/watch.go
@@ -24,10 +24,18 @@
 	maxStoreBackoff   = 10 * time.Second
 	// pollDelay is the time that pushes and peers get before a daemon asks the store itself.
 	pollDelay = 3 * time.Second
+	// minWatchTime is the shortest long poll that counts as one. A store that answers at
+	// once without a change would otherwise be asked in a tight loop.
+	minWatchTime = time.Second
 	// loadTimeout bounds the read of a configuration from the store.
 	loadTimeout = 10 * time.Second
 )
 
+var (
+	errShortWatch = errors.New("watch ended at once without a change")
+	errRoleEnded  = errors.New("watcher role ended")
+)
+
 // keepRole runs the watch while this daemon is a watcher of its zone.
 func (r *Relay) keepRole(ctx context.Context) error {
 	if err := waitFor(ctx, roleDelay); err != nil {
@@ -54,20 +62,19 @@
 	r.setWatching(true)
 	defer r.setWatching(false)
 	group, ctx := errgroup.WithContext(ctx)
-	ended := errors.New("watcher role ended")
 	group.Go(func() error {
 		for r.shouldWatch() {
 			if err := waitFor(ctx, roleInterval); err != nil {
 				return err
 			}
 		}
-		return ended
+		return errRoleEnded
 	})
 	group.Go(func() error {
 		r.watch(ctx)
 		return nil
 	})
-	if err := group.Wait(); !errors.Is(err, ended) {
+	if err := group.Wait(); !errors.Is(err, errRoleEnded) {
 		return err
 	}
 	return nil
@@ -107,11 +114,15 @@
 
 // watchOnce makes one long poll and returns the version to go on from.
 func (r *Relay) watchOnce(ctx context.Context, after platform.Version) (platform.Version, error) {
+	began := time.Now()
 	o, changed, err := r.options.Store.Watch(ctx, commit.HeadKey, after)
 	if ctx.Err() != nil {
 		return after, ctx.Err()
 	}
 	r.called(err)
+	if err == nil && !changed && time.Since(began) < minWatchTime {
+		return after, errShortWatch
+	}
 	if err != nil || !changed {
 		return after, err
 	}
@@ -124,6 +135,9 @@
 	}
 	if r.install(c, "store") {
 		r.push.notify()
+	} else if c.GetGeneration() < r.Current().Generation() {
+		// A restored store, or a watcher that a peer's push overtook.
+		r.options.Counters.Drop("config_older_generation")
 	}
 	return o.Version, nil
 }
