--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -67,6 +67,7 @@
 	running       map[*work]struct{}
 	queue         []*work
 	runs          map[runKey]*run
+	transmissions transmissions
 	lastOpen      time.Time
 	faults        faults
 	closed        bool
@@ -194,6 +195,10 @@
 func (u *Upstream) established(p *pb.Packet, key wire.FlowKey) {
 	switch p.GetKind() {
 	case pb.Kind_KIND_REQUEST:
+		if u.transmissions.isCopy(p.GetTransmission()) {
+			u.counters.Drop("copy")
+			return
+		}
 		u.request(p, key)
 	case pb.Kind_KIND_KEEPALIVE:
 		u.send(reply(p, pb.Kind_KIND_KEEPALIVE_ACK))
--- a/standin/upstream/work.go
+++ b/standin/upstream/work.go
@@ -26,8 +26,8 @@
 	idempotent bool
 }
 
-// request starts, queues or sheds a request of a known flow. It does not recognize
-// duplicates: at most once is the balancer's task, and a duplicate must show.
+// request starts, queues or sheds a request of a known flow. It does not recognize a request
+// that a balancer sends again: at most once is the balancer's task, and a second run must show.
 func (u *Upstream) request(p *pb.Packet, key wire.FlowKey) {
 	w := &work{packet: p, key: runKey{flow: key, id: p.GetRequestId()}}
 	if ms := p.GetDeadlineMs(); ms > 0 {
