--- /dev/null
+++ b/config/declaration/build_test.go
@@ -0,0 +1,169 @@
+package declaration_test
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/config/declaration"
+)
+
+var start = time.UnixMilli(1_700_000_000_000)
+
+func build(g Gomega, previous *pb.Configuration, text string, at time.Duration) *pb.Configuration {
+	d, errs := declaration.Parse("d.yaml", []byte(text))
+	g.Expect(errs).To(BeEmpty())
+	c, _ := declaration.Build(previous, d, fmt.Sprint("change-", at), "operator", start.Add(at))
+	return c
+}
+
+func changeAt(at time.Duration) declaration.Change {
+	return declaration.Change{ID: fmt.Sprint("change-", at), Author: "operator", At: start.Add(at)}
+}
+
+func upstreamNamed(c *pb.Configuration, name string) *pb.Upstream {
+	for _, s := range c.GetServices() {
+		for _, u := range s.GetUpstreams() {
+			if u.GetName() == name {
+				return u
+			}
+		}
+	}
+	return nil
+}
+
+// Guards against a number that is given to another upstream or service: flows of the old one
+// would reach the new one.
+func TestNumbersAreKeptAndNeverReused(t *testing.T) {
+	g := NewWithT(t)
+	first := build(g, nil, valid, 0)
+	g.Expect(upstreamNamed(first, "bindery-1").GetNumber()).To(BeEquivalentTo(1))
+	without := build(g, first, strings.Replace(valid, "  - {name: bindery-1", "  # - {name: bindery-1", 1), 1)
+	g.Expect(upstreamNamed(without, "bindery-2").GetNumber()).To(BeEquivalentTo(2))
+	again := build(g, without, valid, 2)
+	g.Expect(upstreamNamed(again, "bindery-1").GetNumber()).To(BeEquivalentTo(3), "added again at the same address")
+	moved := build(g, again, strings.Replace(valid, "127.1.2.51:9000", "127.1.2.59:9000", 1), 3)
+	g.Expect(upstreamNamed(moved, "bindery-2").GetNumber()).To(BeEquivalentTo(4), "another address")
+	other := build(g, moved, strings.Replace(valid, "127.2.1.1:8001", "127.2.3.1:8001", 1), 4)
+	g.Expect(other.GetServices()[0].GetNumber()).To(BeEquivalentTo(3), "another service address")
+	g.Expect(other.GetServices()[1].GetNumber()).To(BeEquivalentTo(2))
+}
+
+// Guards against numbers that come back in any sequence of edits and declarations.
+func TestNumbersAreNeverReusedInAnySequence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		c := build(g, nil, valid, 0)
+		gone := map[uint32]bool{}
+		for i := range rapid.IntRange(1, 20).Draw(t, "steps") {
+			name := fmt.Sprintf("extra-%d", rapid.IntRange(1, 3).Draw(t, "upstream"))
+			address := netip.MustParseAddrPort("127.1.1.7" + name[6:] + ":9000")
+			u := declaration.Upstream{Name: name, Service: "galerij", Zone: "schuur", Address: address, Slots: 1}
+			next, err := declaration.AddUpstream(c, u, changeAt(time.Duration(i)*time.Second))
+			if err != nil {
+				g.Expect(err).To(MatchError(declaration.ErrDuplicateName))
+				next, err = declaration.RemoveUpstream(c, "", name, true, changeAt(time.Duration(i)*time.Second))
+				g.Expect(err).NotTo(HaveOccurred())
+				gone[upstreamNamed(c, name).GetNumber()] = true
+			} else {
+				g.Expect(gone).NotTo(HaveKey(upstreamNamed(next, name).GetNumber()))
+			}
+			g.Expect(next.GetGeneration()).To(Equal(c.GetGeneration() + 1))
+			c = next
+		}
+	})
+}
+
+// Guards against a drain that an unrelated declaration undoes.
+func TestStateStaysWhenTheDeclarationLeavesItOut(t *testing.T) {
+	g := NewWithT(t)
+	c := build(g, nil, valid, 0)
+	c, err := declaration.SetUpstreamState(c, "bindery", "bindery-1", pb.DeclaredState_DECLARED_STATE_DRAINING, changeAt(time.Second))
+	g.Expect(err).NotTo(HaveOccurred())
+	c, err = declaration.SetDaemonState(c, "schuur-1", pb.DeclaredState_DECLARED_STATE_DRAINING, changeAt(2*time.Second))
+	g.Expect(err).NotTo(HaveOccurred())
+	next := build(g, c, strings.Replace(valid, "weight: 3", "weight: 2", 1), 3*time.Second)
+	u := upstreamNamed(next, "bindery-1")
+	g.Expect(u.GetState()).To(Equal(pb.DeclaredState_DECLARED_STATE_DRAINING))
+	g.Expect(u.GetDrainingSinceMs()).To(Equal(start.Add(time.Second).UnixMilli()))
+	g.Expect(next.GetDaemons()[0].GetState()).To(Equal(pb.DeclaredState_DECLARED_STATE_DRAINING))
+}
+
+// Guards against table versions that are lost while flows may rest on them, or kept for ever.
+func TestTableVersions(t *testing.T) {
+	g := NewWithT(t)
+	weight := func(w int) string { return strings.Replace(valid, "weight: 3", fmt.Sprintf("weight: %d", w), 1) }
+	bindery := func(c *pb.Configuration) *pb.Service { return c.GetServices()[0] }
+	c := build(g, nil, valid, 0)
+	g.Expect(bindery(c).GetPrevious()).To(BeEmpty())
+	c = build(g, c, weight(4), time.Minute)
+	g.Expect(bindery(c).GetTableGeneration()).To(BeEquivalentTo(2))
+	g.Expect(bindery(c).GetTableSinceMs()).To(Equal(start.Add(time.Minute).UnixMilli()))
+	g.Expect(bindery(c).GetPrevious()).To(HaveLen(1))
+	g.Expect(bindery(c).GetPrevious()[0].GetGeneration()).To(BeEquivalentTo(1))
+	g.Expect(c.GetServices()[1].GetTableGeneration()).To(BeEquivalentTo(1), "the other service")
+	// The idle limit of bindery is 5 min: the first version ended 7 min ago, the second now.
+	late := build(g, c, weight(5), 8*time.Minute)
+	g.Expect(bindery(late).GetPrevious()).To(HaveLen(1))
+	g.Expect(bindery(late).GetPrevious()[0].GetGeneration()).To(BeEquivalentTo(2))
+	drained, err := declaration.SetUpstreamState(c, "bindery", "bindery-1", pb.DeclaredState_DECLARED_STATE_DRAINING, changeAt(2*time.Minute))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(build(g, drained, weight(6), time.Hour).GetServices()[0].GetPrevious()).To(HaveLen(3), "needed by a draining upstream")
+
+	for i := range 40 {
+		c = build(g, c, weight(i%2+5), time.Minute+time.Duration(i+1)*time.Second)
+	}
+	versions := bindery(c).GetPrevious()
+	g.Expect(versions).To(HaveLen(declaration.MaxTableVersions))
+	for i := 1; i < len(versions); i++ {
+		g.Expect(versions[i].GetGeneration()).To(BeNumerically("<", versions[i-1].GetGeneration()), "newest first")
+	}
+	oldest := versions[len(versions)-1]
+	g.Expect(oldest.GetEntries()).To(BeEmpty(), "stands for the versions that were dropped")
+	g.Expect(oldest.GetSinceMs()).To(Equal(start.UnixMilli()))
+}
+
+// Guards against edits that are accepted in part, change their input, or hide their reason.
+func TestEditsAreRefusedWithTypedErrors(t *testing.T) {
+	g := NewWithT(t)
+	c := build(g, nil, valid, 0)
+	before := proto.CloneOf(c)
+	at := changeAt(time.Second)
+	u := declaration.Upstream{Name: "new", Service: "bindery", Zone: "schuur", Address: netip.MustParseAddrPort("127.1.1.60:9000"), Slots: 2}
+	add := func(change func(u *declaration.Upstream)) error {
+		altered := u
+		change(&altered)
+		_, err := declaration.AddUpstream(c, altered, at)
+		return err
+	}
+	g.Expect(add(func(*declaration.Upstream) {})).To(Succeed())
+	g.Expect(add(func(u *declaration.Upstream) { u.Service = "x" })).To(MatchError(declaration.ErrUnknownService))
+	g.Expect(add(func(u *declaration.Upstream) { u.Zone = "x" })).To(MatchError(declaration.ErrUnknownZone))
+	g.Expect(add(func(u *declaration.Upstream) { u.Name = "schuur-1" })).To(MatchError(declaration.ErrDuplicateName))
+	g.Expect(add(func(u *declaration.Upstream) { u.Address = netip.MustParseAddrPort("127.1.1.51:9000") })).To(MatchError(declaration.ErrDuplicateAddress))
+	g.Expect(add(func(u *declaration.Upstream) { u.Slots = 0 })).To(MatchError(declaration.ErrInvalidValue))
+	_, err := declaration.RemoveUpstream(c, "bindery", "bindery-1", false, at)
+	g.Expect(err).To(MatchError(declaration.ErrNotDraining))
+	_, err = declaration.RemoveUpstream(c, "", "x", true, at)
+	g.Expect(err).To(MatchError(declaration.ErrUnknownUpstream))
+	_, err = declaration.SetUpstreamState(c, "galerij", "bindery-1", pb.DeclaredState_DECLARED_STATE_DRAINING, at)
+	g.Expect(err).To(MatchError(declaration.ErrUnknownUpstream))
+	_, err = declaration.SetDaemonState(c, "x", pb.DeclaredState_DECLARED_STATE_DRAINING, at)
+	g.Expect(err).To(MatchError(declaration.ErrUnknownDaemon))
+	_, err = declaration.SetAim(c, "bindery", pb.Aim_AIM_UNSPECIFIED, at)
+	g.Expect(err).To(MatchError(declaration.ErrInvalidValue))
+	_, err = declaration.SetLimits(c, "bindery", declaration.Limits{LoadBoundPercent: 90}, at)
+	g.Expect(err).To(MatchError(declaration.ErrInvalidValue))
+	next, err := declaration.SetLimits(c, "bindery", declaration.Limits{IdleLimit: time.Hour}, at)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(next.GetServices()[0].GetLimits().GetIdleLimitMs()).To(BeEquivalentTo(3_600_000))
+	g.Expect(next.GetHistory()[0].GetSummary()).To(ContainSubstring("bindery: limits are"))
+	g.Expect(proto.Equal(c, before)).To(BeTrue())
+}
--- a/config/declaration/reader.go
+++ b/config/declaration/reader.go
@@ -13,8 +13,13 @@
 // maxDeclarationBytes admits the size to design for: 65,000 upstreams of about 150 bytes.
 const maxDeclarationBytes = 16 << 20
 
-// maxNesting is more than the format has; the YAML parser recurses on flow collections.
-const maxNesting = 32
+// Bounds for the YAML parser, which recurses on nested collections and whose time grows with
+// the square of the collections on one line: 128 KB of "- " take 8 s. An entry in flow style is
+// about 150 bytes.
+const (
+	maxNesting   = 32
+	maxLineBytes = 1024
+)
 
 // reader walks the syntax tree and collects every fault, where a decoder would stop at the
 // first.
@@ -43,7 +48,7 @@
 		return nil
 	}
 	if line := tooDeep(data); line > 0 {
-		r.fail(line, "", "brackets are nested deeper than %d", maxNesting)
+		r.fail(line, "", "line is longer than %d bytes or brackets are nested deeper than %d", maxLineBytes, maxNesting)
 		return nil
 	}
 	file, err := parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey())
@@ -64,20 +69,23 @@
 	return file.Docs[0].Body
 }
 
-// tooDeep returns the line at which brackets are nested deeper than the format needs, or 0.
+// tooDeep returns the first line that nests deeper or is longer than the format needs, or 0.
 func tooDeep(data []byte) int {
-	line, depth := 1, 0
+	line, length, depth := 1, 0, 0
 	for _, b := range data {
+		length++
 		switch b {
 		case '\n':
 			line++
+			length = 0
 		case '[', '{':
-			if depth++; depth > maxNesting {
-				return line
-			}
+			depth++
 		case ']', '}':
 			depth = max(0, depth-1)
 		}
+		if depth > maxNesting || length > maxLineBytes {
+			return line
+		}
 	}
 	return 0
 }
