--- a/cmd/standin-platform/main.go
+++ b/cmd/standin-platform/main.go
@@ -90,7 +90,11 @@
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
-	server := &http.Server{Handler: p.Handler(), ReadHeaderTimeout: readTimeout}
+	server := &http.Server{
+		Handler: p.Handler(), ReadHeaderTimeout: readTimeout,
+		// Ends waiting watches at the stop, which would otherwise outlast the shutdown.
+		BaseContext: func(net.Listener) context.Context { return ctx },
+	}
 	log.Info().Str("event", "serving").Str("address", address).Send()
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(listener) }()
@@ -100,7 +104,6 @@
 	case <-ctx.Done():
 	}
 	log.Info().Str("event", "stopping").Send()
-	// Waiting watches would keep a graceful shutdown from ending, so it has a limit.
 	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 	defer cancel()
 	if err := server.Shutdown(stopCtx); err != nil {
--- a/config/commit/failure_test.go
+++ b/config/commit/failure_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http/httptest"
 	"net/netip"
 	"sync"
 	"testing"
@@ -214,6 +215,43 @@
 	g.Expect(err).NotTo(HaveOccurred())
 }
 
+// Guards against errors of the HTTP client that commits take for something else: the same
+// over TCP, with connections closed instead of answers.
+func TestOutcomesAgreeWithTheStoreOverHTTP(t *testing.T) {
+	g := NewWithT(t)
+	p := standin.New(standin.Options{})
+	server := httptest.NewServer(p.Handler())
+	defer server.Close()
+	client := platform.NewClient(platform.ClientOptions{
+		Address: netip.MustParseAddrPort(server.Listener.Addr().String()), CallTimeout: 300 * time.Millisecond,
+	})
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	first := commit.Commit(ctx, client, "first", 0, declare("first"))
+	g.Expect(first.Outcome).To(Equal(pb.Outcome_OUTCOME_COMMITTED), "%v", first.Err)
+	p.LoseAnswerShare(0.4)
+	p.SetDelay(10 * time.Millisecond)
+	results := make([]commit.Result, 24)
+	var all sync.WaitGroup
+	for operator := range 4 {
+		all.Go(func() {
+			for i := operator; i < len(results); i += 4 {
+				id := fmt.Sprintf("change-%d", i)
+				results[i] = commit.Commit(ctx, client, id, 0, func(previous *pb.Configuration) (*pb.Configuration, error) {
+					limits := declaration.Limits{QueueLength: uint32(i + 1)}
+					return declaration.SetLimits(previous, []string{"bindery", "galerij"}[i%2], limits, change(id))
+				})
+			}
+		})
+	}
+	all.Wait()
+	outcomes := map[pb.Outcome]int{}
+	checkOutcomes(g, p, p.Store(netip.Addr{}), results, outcomes)
+	t.Logf("outcomes %v", outcomes)
+	g.Expect(outcomes[pb.Outcome_OUTCOME_COMMITTED]).To(BeNumerically(">=", 6), "%v", outcomes)
+}
+
 // Guards against a paused lease holder that acts after another one took over.
 func TestPausedLeaseHolderLosesTheLease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/config/relay/relay.go
+++ b/config/relay/relay.go
@@ -182,11 +182,18 @@
 
 // called notes the result of a call to the store.
 func (r *Relay) called(err error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	served := err == nil || errors.Is(err, commit.ErrCorrupt) || errors.Is(err, platform.ErrNotFound) ||
 		errors.Is(err, platform.ErrRateLimited)
+	r.mu.Lock()
+	before := r.contact
 	r.contact = contact{at: time.Now(), reachable: served}
+	r.mu.Unlock()
+	switch {
+	case served && !before.reachable:
+		r.options.Logger.Info().Str("event", "platform_reachable").Send()
+	case !served && (before.reachable || before.at.IsZero()):
+		r.options.Logger.Warn().Str("event", "platform_unreachable").Err(err).Send()
+	}
 }
 
 // relayed returns the configuration in force as peers get it.
