Refuse to trust records after restarts, pauses and repeated transfers

Cause: a daemon that restarted before it was dropped took its resources for fresh; one call that failed was repeated for each chunk; forwards were decoded into messages; SelfIncarnation took a mutex for each datagram. Change: a claim by a new incarnation of the desired holder is answered by a redirect to itself, which makes the activation recovered; a failed call ends the round; HandleForward receives without a message; suspicions go to 12 peers instead of 8. Tests script the answers of other daemons. Calls count with an allowance of 400 bytes of headers in each direction.

--- a/internal/clustertest/cluster.go
+++ b/internal/clustertest/cluster.go
@@ -42,13 +42,14 @@
 	// BeforeClaim is called before each claim is delivered, and may kill daemons.
 	BeforeClaim func(from, to *Daemon)
 
-	mu      sync.Mutex
-	daemons map[membership.DaemonID]*Daemon
-	listed  []membership.Member
-	cut     func(a, b *Daemon) bool
-	loss    func() bool
-	rand    *rand.Rand
-	tokens  uint64
+	mu         sync.Mutex
+	daemons    map[membership.DaemonID]*Daemon
+	listed     []membership.Member
+	cut        func(a, b *Daemon) bool
+	loss       func() bool
+	answerLoss float64
+	rand       *rand.Rand
+	tokens     uint64
 }
 
 // New returns a cluster without daemons whose random choices follow from seed.
@@ -82,6 +83,19 @@
 	c.loss = func() bool { return c.rand.Float64() < share }
 }
 
+// SetAnswerLoss loses the given share of the answers of calls after they took effect.
+func (c *Cluster) SetAnswerLoss(share float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answerLoss = share
+}
+
+func (c *Cluster) losesAnswer() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answerLoss > 0 && c.rand.Float64() < c.answerLoss
+}
+
 // Daemon returns the daemon that runs under an ID, or nil.
 func (c *Cluster) Daemon(id membership.DaemonID) *Daemon {
 	c.mu.Lock()
@@ -156,6 +170,10 @@
 	if err := f(to); err != nil {
 		return err
 	}
+	if c.losesAnswer() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	if err := sleep(ctx, Latency); err != nil {
 		return err
 	}
--- a/internal/clustertest/daemon.go
+++ b/internal/clustertest/daemon.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"sync"
 
+	"google.golang.org/protobuf/proto"
+
 	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
 	"github.com/fulmarfield/fulmarfield/membership"
 	"github.com/fulmarfield/fulmarfield/ownership"
@@ -181,11 +183,25 @@
 	var response *pb.GetViewResponse
 	err := d.cluster.call(ctx, d, from.ControlAddress, func(to *Daemon) error {
 		response = to.Membership.HandleGetView(r)
+		countCall(d, to, r, response)
 		return nil
 	})
 	return response, err
 }
 
+// callOverhead is an allowance in bytes for the HTTP, TCP and IP headers of one direction of
+// a call.
+const callOverhead = 400
+
+// countCall counts the bytes of a call as control traffic of both daemons.
+func countCall(from, to *Daemon, request, response proto.Message) {
+	out, in := int64(proto.Size(request)+callOverhead), int64(proto.Size(response)+callOverhead)
+	from.Counters.Add("control.sent.call", out)
+	from.Counters.Add("control.received.call", in)
+	to.Counters.Add("control.sent.call", in)
+	to.Counters.Add("control.received.call", out)
+}
+
 // gatedSender holds back what a paused daemon sends.
 type gatedSender struct{ d *Daemon }
 
@@ -213,6 +229,7 @@
 			f(c.d, to)
 		}
 		response, err = to.Ownership.HandleClaim(r)
+		countCall(c.d, to, r, response)
 		return err
 	})
 	if err != nil {
@@ -229,6 +246,7 @@
 	var response *pb.OfferResponse
 	err := c.d.cluster.call(ctx, c.d, member.ControlAddress, func(to *Daemon) error {
 		response = to.Ownership.HandleOffer(r)
+		countCall(c.d, to, r, response)
 		return nil
 	})
 	if err != nil {
--- a/internal/clustertest/fault_test.go
+++ b/internal/clustertest/fault_test.go
@@ -214,3 +214,28 @@
 		}
 	})
 }
+
+// Guards against records that are lost with the answer to a claim that took effect.
+func TestLostAnswerToClaim(t *testing.T) {
+	inCluster(t, 4, func(g *WithT, c *clustertest.Cluster, _ []*clustertest.Daemon) {
+		waitSettled(t, c, time.Second)
+		tokens := map[ownership.Resource]uint64{}
+		for i, r := range c.Resources {
+			c.Active(r)[0].Keeper.AddFlow(r, uint32(i))
+			tokens[r] = c.Active(r)[0].Keeper.Token(r)
+		}
+		joined := c.Start("z1", 80)
+		for len(joined.Membership.View().Members) == 1 {
+			time.Sleep(time.Millisecond)
+		}
+		c.SetAnswerLoss(1)
+		time.Sleep(300 * time.Millisecond)
+		c.SetAnswerLoss(0)
+		waitSettled(t, c, 5*time.Second)
+		g.Expect(joined.Ownership.Held()).To(BeNumerically(">", 0))
+		for i, r := range c.Resources {
+			g.Expect(c.Active(r)[0].Keeper.HasFlow(r, uint32(i))).To(BeTrue())
+			g.Expect(c.Active(r)[0].Keeper.Token(r)).To(Equal(tokens[r]))
+		}
+	})
+}
--- a/internal/clustertest/property_test.go
+++ b/internal/clustertest/property_test.go
@@ -30,7 +30,7 @@
 func steps() *rapid.Generator[[]step] {
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
 		return step{
-			Action: rapid.SampledFrom([]string{"kill", "join", "leave", "cut zone", "cut one", "heal", "pause", "resume"}).Draw(t, "action"),
+			Action: rapid.SampledFrom([]string{"kill", "join", "leave", "cut zone", "cut one", "heal", "pause", "resume", "lose answers"}).Draw(t, "action"),
 			Which:  rapid.IntRange(0, 99).Draw(t, "which"),
 			Pause:  time.Duration(rapid.IntRange(0, 6000).Draw(t, "ms")) * time.Millisecond,
 		}
@@ -69,6 +69,7 @@
 		}
 	}
 	c.SetCut(nil)
+	c.SetAnswerLoss(0)
 	for _, d := range c.Daemons() {
 		d.Resume()
 	}
@@ -95,8 +96,11 @@
 		c.SetCut(zoneCut(chosen.Self.Zone))
 	case "cut one":
 		c.SetCut(func(a, b *clustertest.Daemon) bool { return a == chosen || b == chosen })
+	case "lose answers":
+		c.SetAnswerLoss(float64(s.Which) / 200)
 	case "heal":
 		c.SetCut(nil)
+		c.SetAnswerLoss(0)
 	case "pause":
 		chosen.Pause()
 	case "resume":
--- a/membership/join.go
+++ b/membership/join.go
@@ -175,6 +175,9 @@
 // hasAddress reports whether a hint without an ID is this daemon or one in the view. m.mu
 // is held.
 func (m *Membership) hasAddress(hint Member) bool {
+	if !hint.ControlAddress.IsValid() {
+		return false
+	}
 	if hint.ControlAddress == m.self.ControlAddress {
 		return true
 	}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -16,6 +16,8 @@
 	view    atomic.Pointer[View]
 	settled atomic.Bool
 	changed chan struct{}
+	// incarnation is the one of self, readable for each datagram without the mutex.
+	incarnation atomic.Uint64
 
 	subscriberMu sync.Mutex
 	subscribers  []func(previous, current *View)
@@ -75,9 +77,7 @@
 
 // SelfIncarnation returns the current incarnation of this daemon.
 func (m *Membership) SelfIncarnation() uint64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.self.Incarnation
+	return m.incarnation.Load()
 }
 
 // Subscribe calls f after changes of the view, in order, from one goroutine of Run. Changes
@@ -166,6 +166,7 @@
 // publish replaces the view after a change. m.mu is held.
 func (m *Membership) publish() {
 	m.epoch++
+	m.incarnation.Store(m.self.Incarnation)
 	v := &View{Epoch: m.epoch, Members: make([]Member, 0, len(m.entries)+1)}
 	v.Members = append(v.Members, m.self)
 	for _, e := range m.entries {
--- /dev/null
+++ b/membership/membership_test.go
@@ -0,0 +1,187 @@
+package membership_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/membership"
+	"github.com/fulmarfield/fulmarfield/telemetry"
+)
+
+const (
+	alive   = pb.MemberState_MEMBER_STATE_ALIVE
+	suspect = pb.MemberState_MEMBER_STATE_SUSPECT
+	leaving = pb.MemberState_MEMBER_STATE_LEAVING
+	dropped = pb.MemberState_MEMBER_STATE_DROPPED
+	left    = pb.MemberState_MEMBER_STATE_LEFT
+)
+
+var peerAddress = netip.MustParseAddrPort("127.1.0.9:7400")
+
+// recorder is a Sender that keeps what is sent.
+type recorder struct {
+	mu   sync.Mutex
+	sent []*pb.PeerDatagram
+}
+
+func (r *recorder) Send(to membership.DaemonID, m *pb.PeerDatagram) error {
+	return r.SendTo(peerAddress, to, m)
+}
+
+func (r *recorder) SendTo(_ netip.AddrPort, to membership.DaemonID, m *pb.PeerDatagram) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m.Receiver = string(to)
+	r.sent = append(r.sent, m)
+	return nil
+}
+
+// take returns what was sent since the last call.
+func (r *recorder) take() []*pb.PeerDatagram {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sent := r.sent
+	r.sent = nil
+	return sent
+}
+
+func newMembership() (*membership.Membership, *recorder, *telemetry.Counters) {
+	r, counters := &recorder{}, telemetry.NewCounters()
+	return membership.New(membership.Options{
+		Self:       membership.Member{ID: "self", PeerAddress: peerAddress, Incarnation: 100},
+		Sender:     r,
+		Counters:   counters,
+		Generation: func() uint64 { return 42 },
+	}), r, counters
+}
+
+func member(id string, incarnation uint64, state pb.MemberState) *pb.Member {
+	return &pb.Member{Id: id, PeerAddress: "127.1.0.1:7400", Incarnation: incarnation, State: state}
+}
+
+func tell(m *membership.Membership, changes ...*pb.Member) {
+	m.HandleDatagram("x", &pb.PeerDatagram{Body: &pb.PeerDatagram_Probe{Probe: &pb.Probe{Changes: changes}}})
+}
+
+// Guards against news that replace newer ones, and against a member that is dropped on the
+// word of another daemon without the time to refute.
+func TestMergeOrder(t *testing.T) {
+	for _, c := range []struct {
+		first, then, want *pb.Member
+	}{
+		{member("a", 5, alive), member("a", 5, suspect), member("a", 5, suspect)},
+		{member("a", 5, suspect), member("a", 5, alive), member("a", 5, suspect)},
+		{member("a", 5, suspect), member("a", 6, alive), member("a", 6, alive)},
+		{member("a", 6, alive), member("a", 5, left), member("a", 6, alive)},
+		{member("a", 5, alive), member("a", 5, leaving), member("a", 5, leaving)},
+		{member("a", 5, leaving), member("a", 5, suspect), member("a", 5, leaving)},
+		{member("a", 5, alive), member("a", 5, dropped), member("a", 5, suspect)},
+		{member("a", 5, alive), member("a", 9, dropped), member("a", 9, suspect)},
+		{member("a", 5, leaving), member("a", 5, left), member("a", 5, left)},
+		{member("a", 5, left), member("a", 6, alive), member("a", 6, alive)},
+	} {
+		g := NewWithT(t)
+		m, _, _ := newMembership()
+		tell(m, c.first, c.then)
+		got, _ := m.View().Member("a")
+		g.Expect(got.State).To(Equal(c.want.GetState()), "%v then %v", c.first, c.then)
+		g.Expect(got.Incarnation).To(Equal(c.want.GetIncarnation()), "%v then %v", c.first, c.then)
+	}
+}
+
+// Guards against entries that later code cannot use.
+func TestMergeRefuses(t *testing.T) {
+	g := NewWithT(t)
+	m, _, counters := newMembership()
+	tell(m, member("", 1, alive), member("a", 1, pb.MemberState_MEMBER_STATE_UNSPECIFIED),
+		&pb.Member{Id: "b", PeerAddress: "nowhere", State: alive}, member("c", 1, dropped))
+	g.Expect(m.View().Members).To(HaveLen(1))
+	g.Expect(counters.Get("drop.member_malformed")).To(Equal(int64(3)))
+	g.Expect(m.HandleDatagram("x", &pb.PeerDatagram{Body: &pb.PeerDatagram_Forward{}})).To(BeFalse())
+}
+
+// Guards against a daemon that accepts its own drop, also when its clock is behind.
+func TestRefutation(t *testing.T) {
+	g := NewWithT(t)
+	m, _, _ := newMembership()
+	ahead := uint64(time.Now().Add(24 * time.Hour).UnixNano())
+	tell(m, member("self", ahead, dropped))
+	self, _ := m.View().Member("self")
+	g.Expect(self.State).To(Equal(alive))
+	g.Expect(self.Incarnation).To(Equal(ahead + 1))
+	g.Expect(m.SelfIncarnation()).To(Equal(ahead + 1))
+}
+
+// Guards against an ack that lacks the generation, carries too many changes, or does not tell
+// the sender that it was dropped here.
+func TestAck(t *testing.T) {
+	g := NewWithT(t)
+	m, r, _ := newMembership()
+	for i := range 10 {
+		tell(m, member(fmt.Sprintf("m%d", i), 1, alive))
+	}
+	tell(m, member("x", 5, suspect))
+	r.take()
+	m.HandleDatagram("x", &pb.PeerDatagram{Body: &pb.PeerDatagram_Probe{Probe: &pb.Probe{Nonce: 7}}})
+	sent := r.take()
+	g.Expect(sent).To(HaveLen(1))
+	ack := sent[0].GetProbeAck()
+	g.Expect(ack.GetNonce()).To(Equal(uint32(7)))
+	g.Expect(ack.GetConfigGeneration()).To(Equal(uint64(42)))
+	g.Expect(ack.GetChanges()).To(HaveLen(4))
+	g.Expect(ack.GetChanges()[0].GetId()).To(Equal("x"))
+	g.Expect(ack.GetChanges()[0].GetState()).To(Equal(suspect))
+}
+
+// Guards against changes that are passed on for ever.
+func TestChangesAreRepeatedABoundedNumberOfTimes(t *testing.T) {
+	g := NewWithT(t)
+	m, r, _ := newMembership()
+	tell(m, member("x", 5, alive), member("a", 5, alive))
+	r.take()
+	repeats := 0
+	for range 100 {
+		m.HandleDatagram("x", &pb.PeerDatagram{Body: &pb.PeerDatagram_Probe{Probe: &pb.Probe{}}})
+		for _, c := range r.take()[0].GetProbeAck().GetChanges() {
+			if c.GetId() == "a" {
+				repeats++
+			}
+		}
+	}
+	g.Expect(repeats).To(BeNumerically(">=", 3))
+	g.Expect(repeats).To(BeNumerically("<=", 9))
+}
+
+// Guards against subscribers that miss the last view, and against a view that counts as
+// settled before SettleTimeout although no seed answered.
+func TestSettledAndSubscribe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		m, _, _ := newMembership()
+		var seen []uint64
+		m.Subscribe(func(previous, current *membership.View) {
+			g.Expect(current.Epoch).To(BeNumerically(">", previous.Epoch))
+			seen = append(seen, current.Epoch)
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error)
+		go func() { done <- m.Run(ctx) }()
+		tell(m, member("a", 5, alive))
+		time.Sleep(membership.SettleTimeout - time.Millisecond)
+		g.Expect(m.Settled()).To(BeFalse())
+		time.Sleep(100 * time.Millisecond)
+		g.Expect(m.Settled()).To(BeTrue())
+		synctest.Wait()
+		g.Expect(seen[len(seen)-1]).To(Equal(m.View().Epoch))
+		cancel()
+		g.Expect(<-done).To(Succeed())
+	})
+}
--- a/membership/options.go
+++ b/membership/options.go
@@ -28,9 +28,9 @@
 	indirectProbes = 2
 	// A suspicion or refutation goes to urgentPeers daemons at once, at most once in
 	// urgentPause, so that a cut of many zones does not exceed the budget for control bytes.
-	urgentPeers = 8
+	urgentPeers = 12
 	urgentPause = 500 * time.Millisecond
-	maxChanges     = 4
+	maxChanges  = 4
 	// repeatFactor times the logarithm of the number of members is how often a change is
 	// passed on. In the published analysis of SWIM, 3 reaches every member with high probability.
 	repeatFactor = 3
--- a/ownership/claim.go
+++ b/ownership/claim.go
@@ -124,20 +124,26 @@
 	}
 }
 
-// claimFrom asks one daemon for resources, chunk by chunk.
+// claimFrom asks one daemon for resources, chunk by chunk until a call fails.
 func (o *Ownership) claimFrom(ctx context.Context, to membership.DaemonID, slots []*slot) {
 	for len(slots) > 0 {
 		n := min(len(slots), chunk)
-		o.claimChunk(ctx, to, slots[:n])
+		err := o.claimChunk(ctx, to, slots[:n])
 		slots = slots[n:]
+		if err == nil {
+			continue
+		}
+		for _, s := range slots {
+			s.mu.Lock()
+			s.retryLater(to)
+			s.mu.Unlock()
+		}
+		return
 	}
 }
 
-func (o *Ownership) claimChunk(ctx context.Context, to membership.DaemonID, slots []*slot) {
-	self, ok := o.selfMember()
-	if !ok {
-		return
-	}
+func (o *Ownership) claimChunk(ctx context.Context, to membership.DaemonID, slots []*slot) error {
+	self, _ := o.selfMember()
 	request := &pb.ClaimRequest{Claimer: string(self.ID), Incarnation: self.Incarnation}
 	asked := make(map[Resource]*slot, len(slots))
 	for _, s := range slots {
@@ -150,7 +156,7 @@
 		}
 	}
 	if len(asked) == 0 {
-		return
+		return nil
 	}
 	life := o.life.Load()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -174,6 +180,7 @@
 		s.retryLater(to)
 		s.mu.Unlock()
 	}
+	return err
 }
 
 func (s *slot) retryLater(to membership.DaemonID) {
--- a/ownership/handle.go
+++ b/ownership/handle.go
@@ -40,6 +40,11 @@
 		return
 	}
 	if s.released == nil || time.Since(s.released.at) >= 2*keepReleased {
+		if s.desired() == claimer && s.desiredIncarnation < incarnation {
+			// The claimer was the desired holder before it restarted or paused, so records
+			// are lost: a redirect to itself tells it that the resource is not fresh.
+			result.Outcome, result.Redirect = pb.ClaimOutcome_CLAIM_OUTCOME_REDIRECT, string(claimer)
+		}
 		return
 	}
 	result.Records = s.released.records
--- a/ownership/offer.go
+++ b/ownership/offer.go
@@ -33,19 +33,17 @@
 // offerTo hands resources to their desired holder, chunk by chunk. A call without records
 // finds out first whether the daemon answers, since each failed offer costs the guard token.
 func (o *Ownership) offerTo(ctx context.Context, to membership.DaemonID, slots []*slot) {
-	if _, err := o.callOffer(ctx, to, nil); err != nil {
-		for _, s := range slots {
-			s.mu.Lock()
-			s.offerLater()
-			s.mu.Unlock()
-		}
-		return
-	}
-	for len(slots) > 0 {
+	_, err := o.callOffer(ctx, to, nil)
+	for len(slots) > 0 && err == nil {
 		n := min(len(slots), chunk)
-		o.offerChunk(ctx, to, slots[:n])
+		err = o.offerChunk(ctx, to, slots[:n])
 		slots = slots[n:]
 	}
+	for _, s := range slots {
+		s.mu.Lock()
+		s.offerLater()
+		s.mu.Unlock()
+	}
 }
 
 func (o *Ownership) callOffer(ctx context.Context, to membership.DaemonID, records []*pb.ResourceRecords) (*pb.OfferResponse, error) {
@@ -62,10 +60,10 @@
 	return response, err
 }
 
-func (o *Ownership) offerChunk(ctx context.Context, to membership.DaemonID, slots []*slot) {
+func (o *Ownership) offerChunk(ctx context.Context, to membership.DaemonID, slots []*slot) error {
 	member, known := o.options.Viewer.View().Member(to)
 	if !known {
-		return
+		return nil
 	}
 	var records []*pb.ResourceRecords
 	offered := map[Resource]*slot{}
@@ -79,7 +77,7 @@
 		s.mu.Unlock()
 	}
 	if len(records) == 0 {
-		return
+		return nil
 	}
 	o.options.Counters.Add("ownership.offered", int64(len(records)))
 	life := o.life.Load()
@@ -98,6 +96,7 @@
 		s.takeBack(o, err == nil && life == o.life.Load())
 		s.mu.Unlock()
 	}
+	return err
 }
 
 // takeBack serves the resource again after an offer that was refused or had no answer. In
--- a/ownership/slot.go
+++ b/ownership/slot.go
@@ -41,6 +41,8 @@
 	ranked []membership.DaemonID
 	// holders are the first reachable members, including those that leave.
 	holders []membership.DaemonID
+	// desiredIncarnation is the incarnation in which the desired holder became it.
+	desiredIncarnation uint64
 	// previous are earlier desired holders, newest first.
 	previous []membership.DaemonID
 	// lost is set while a dropped member may have held the resource last.
@@ -52,6 +54,7 @@
 	// mismatchSince is when an active holder first saw another desired holder.
 	mismatchSince time.Time
 	offerDelay    time.Duration
+	activatedAt   time.Time
 	holdUntil     time.Time
 	holdDelay     time.Duration
 	// unreliable is set when records were lost here in a pause.
@@ -87,8 +90,12 @@
 	old := s.desired()
 	s.ranked = rank(list, s.hash, s.zone, ranks, membership.Member.CanOwn)
 	s.holders = rank(list, s.hash, s.zone, ranks+1, membership.Member.IsReachable)
-	if desired := s.desired(); desired != old && old != "" {
-		s.remember(old)
+	if desired := s.desired(); desired != old {
+		m, _ := view.Member(desired)
+		s.desiredIncarnation = m.Incarnation
+		if old != "" {
+			s.remember(old)
+		}
 	}
 	s.noteLosses(view, list)
 	switch {
@@ -198,7 +205,7 @@
 // activate starts to serve the resource. s.mu is held.
 func (s *slot) activate(o *Ownership, records *pb.ResourceRecords, p Provenance) {
 	s.state, s.claim, s.released, s.offer = stateActive, nil, nil, nil
-	s.unreliable = false
+	s.unreliable, s.activatedAt = false, time.Now()
 	s.mismatchSince, s.offerDelay = time.Time{}, 0
 	s.keeper.Activate(s.resource, records, p)
 	if s.desired() != o.options.Self {
@@ -216,11 +223,12 @@
 	s.state, s.claim = stateNone, nil
 	s.mismatchSince = time.Time{}
 	s.released = &release{to: to, incarnation: incarnation, at: now, records: records}
+	if now.Sub(s.activatedAt) > 2*reclaimMax {
+		s.holdDelay = 0
+	}
 	if s.desired() == o.options.Self {
 		s.holdDelay = min(max(2*s.holdDelay, reclaimMin), reclaimMax)
 		s.holdUntil = now.Add(jitter(s.holdDelay))
-	} else {
-		s.holdDelay = 0
 	}
 	o.options.Counters.Count("ownership.released")
 	s.publish(o, o.options.Viewer.View())
--- a/peer/messenger.go
+++ b/peer/messenger.go
@@ -51,6 +51,8 @@
 	traffic *traffic
 	buffers sync.Pool
 	handler atomic.Pointer[func(membership.DaemonID, *pb.PeerDatagram)]
+	// forwarder receives forwards without a message; nil when HandleForward was not called.
+	forwarder atomic.Pointer[ForwardHandler]
 
 	mu    sync.RWMutex
 	peers map[membership.DaemonID]*peerState
@@ -58,6 +60,7 @@
 
 // peerState holds the next sequence to a peer and the replay window of datagrams from it.
 type peerState struct {
+	id       membership.DaemonID
 	sequence atomic.Uint64
 	mu       sync.Mutex
 	window   wire.ReplayWindow
@@ -85,6 +88,13 @@
 // goroutine of Run; m belongs to it.
 func (m *Messenger) Handle(f func(from membership.DaemonID, m *pb.PeerDatagram)) { m.handler.Store(&f) }
 
+// ForwardHandler receives a forwarded packet, which is valid until it returns.
+type ForwardHandler func(from membership.DaemonID, hops uint32, role pb.ForwardRole, packet []byte)
+
+// HandleForward sets the function that receives forwards instead of the one of Handle, so
+// that a forward is received without allocating a message.
+func (m *Messenger) HandleForward(f ForwardHandler) { m.forwarder.Store(&f) }
+
 // Send sends a datagram to a daemon of the view and changes the header fields of d. It
 // returns ErrUnknownPeer, ErrTooLarge or ErrTransport.
 func (m *Messenger) Send(to membership.DaemonID, d *pb.PeerDatagram) error {
@@ -157,7 +167,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if p = m.peers[id]; p == nil {
-		p = &peerState{}
+		p = &peerState{id: id}
 		m.peers[id] = p
 	}
 	return p
@@ -189,20 +199,49 @@
 		m.refuse(d, err)
 		return
 	}
-	message := &pb.PeerDatagram{}
-	if proto.Unmarshal(body, message) != nil || message.GetBody() == nil || message.GetSender() == "" {
-		m.refuse(d, wire.ErrMalformed)
+	h, err := parseHeader(body)
+	if err != nil {
+		m.refuse(d, err)
 		return
 	}
-	from := membership.DaemonID(message.GetSender())
-	if err := m.admit(from, message); err != nil {
+	if f := m.forwarder.Load(); f != nil && h.forward != nil {
+		err = m.receiveForward(h, *f, len(d.Data))
+	} else {
+		err = m.receiveMessage(h, body, len(d.Data))
+	}
+	if err != nil {
 		m.refuse(d, err)
-		return
 	}
-	m.traffic.received(kindOf(message), len(d.Data))
+}
+
+func (m *Messenger) receiveForward(h header, f ForwardHandler, size int) error {
+	hops, role, packet, err := parseForward(h.forward)
+	if err != nil {
+		return err
+	}
+	p, err := m.admit(h)
+	if err != nil {
+		return err
+	}
+	m.traffic.received(kindForward, size)
+	f(p.id, hops, role, packet)
+	return nil
+}
+
+func (m *Messenger) receiveMessage(h header, body []byte, size int) error {
+	message := &pb.PeerDatagram{}
+	if proto.Unmarshal(body, message) != nil || message.GetBody() == nil {
+		return wire.ErrMalformed
+	}
+	p, err := m.admit(h)
+	if err != nil {
+		return err
+	}
+	m.traffic.received(kindOf(message), size)
 	if f := m.handler.Load(); f != nil {
-		(*f)(from, message)
+		(*f)(p.id, message)
 	}
+	return nil
 }
 
 // errWrongReceiver reports a datagram that was sealed for another daemon.
@@ -210,17 +249,28 @@
 
 // admit checks that an authentic datagram is for this daemon and is not a replay. A window
 // knows nothing after a restart, so the incarnation in the view is a lower bound.
-func (m *Messenger) admit(from membership.DaemonID, d *pb.PeerDatagram) error {
-	if d.GetReceiver() != string(m.options.Self) || from == m.options.Self {
-		return errWrongReceiver
+func (m *Messenger) admit(h header) (*peerState, error) {
+	if string(h.receiver) != string(m.options.Self) || string(h.sender) == string(m.options.Self) {
+		return nil, errWrongReceiver
 	}
-	if known, ok := m.options.Viewer.View().Member(from); ok && d.GetIncarnation() < known.Incarnation {
-		return wire.ErrReplayed
+	p := m.sender(h.sender)
+	if known, ok := m.options.Viewer.View().Member(p.id); ok && h.incarnation < known.Incarnation {
+		return nil, wire.ErrReplayed
 	}
-	p := m.peer(from)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.window.Accept(d.GetIncarnation(), d.GetSequence())
+	return p, p.window.Accept(h.incarnation, h.sequence)
+}
+
+// sender returns the state of a peer and allocates only for a new one.
+func (m *Messenger) sender(id []byte) *peerState {
+	m.mu.RLock()
+	p := m.peers[membership.DaemonID(id)]
+	m.mu.RUnlock()
+	if p != nil {
+		return p
+	}
+	return m.peer(membership.DaemonID(id))
 }
 
 func (m *Messenger) refuse(d wire.Datagram, err error) {
--- a/peer/messenger_test.go
+++ b/peer/messenger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"testing"
 	"testing/synctest"
@@ -159,3 +160,19 @@
 	packet := make([]byte, 1400)
 	g.Expect(testing.AllocsPerRun(200, func() { _ = m.SendForward("b", 1, 1, packet) })).To(BeZero())
 }
+
+// Guards against a forward that the fast path reads differently, and against an allocation
+// for each forwarded packet that arrives.
+func TestReceiveForward(t *testing.T) {
+	inNetwork(t, func(g *WithT, _ *memnet.Network, a, b *station) {
+		var got []string
+		b.HandleForward(func(from membership.DaemonID, hops uint32, role pb.ForwardRole, packet []byte) {
+			got = append(got, fmt.Sprintf("%s %d %v %s", from, hops, role, packet))
+		})
+		g.Expect(a.SendForward("b", 3, pb.ForwardRole_FORWARD_ROLE_ADMISSION, []byte("packet"))).To(Succeed())
+		g.Expect(a.Send("b", probe())).To(Succeed())
+		synctest.Wait()
+		g.Expect(got).To(Equal([]string{"a 3 FORWARD_ROLE_ADMISSION packet"}))
+		g.Expect(b.got).To(HaveLen(1), "other kinds still go to the function of Handle")
+	})
+}
