Fit scripts and load generator to the daemon

The daemon takes the operators' address and control addresses as seeds, and serves /healthz, /readyz and /metrics; generations come from 'show daemons'. Two runs at a time are refused, since they would bind the same addresses.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -8,7 +8,7 @@
 
 FABRIC_ADMIN=127.0.0.1:7200
 PLATFORM_BIND=127.0.99.1:7100
-PLATFORM_URL=http://127.1.99.1:7100
+PLATFORM_REACH=127.1.99.1:7100
 # Routes to a balancer that died are withdrawn after this many seconds.
 WITHDRAW_SECONDS=1
 # Highest host number of a balancer that the fabric relays in each zone.
@@ -47,6 +47,9 @@
   for program in fulmar-balancer fulmarctl standin-platform standin-fabric standin-upstream loadgen; do
     [ -x "bin/$program" ] || fail "bin/$program is missing: run make build first"
   done
+  # Two runs would bind the same addresses.
+  exec 9>"${TMPDIR:-/tmp}/fulmarfield.lock"
+  flock -n 9 || fail "another run of these scripts uses the addresses"
   RUN_DIR=$(mktemp -d "${TMPDIR:-/tmp}/fulmarfield.XXXXXX")
   mkdir -p "$RUN_DIR"/{log,upstream,daemon}
   trap cluster_exit EXIT
@@ -105,7 +108,7 @@
 start() {
   local name=$1
   shift
-  "$@" >>"$RUN_DIR/log/$name.log" 2>&1 &
+  "$@" >>"$RUN_DIR/log/$name.log" 2>&1 9>&- &
   PIDS[$name]=$!
   printf '%s\n' "${PIDS[$name]}" >"$RUN_DIR/$name.pid"
 }
@@ -153,7 +156,7 @@
 
 start_stand_ins() {
   local args=() zone entry name service ip slots n=0
-  start platform bin/standin-platform --address "$PLATFORM_BIND"
+  start platform bin/standin-platform --listen "$PLATFORM_BIND" --deployment "$DECLARATION"
   for entry in "${SERVICES[@]}"; do args+=(--service "${entry#*=}"); done
   for zone in "${!ZONES[@]}"; do args+=(--vm "127.0.$((zone + 1)).1-$MAX_DAEMON_HOST"); done
   for name in "${!UPSTREAM_IP[@]}"; do args+=(--vm "${UPSTREAM_IP[$name]}"); done
@@ -180,14 +183,14 @@
   local name=$1 zone=${DAEMON_ZONE[$1]} host=${DAEMON_HOST[$1]} seeds=() other
   local bind=127.0.$zone.$host reach=127.1.$zone.$host
   for other in "${DAEMONS[@]}"; do
-    [ "$other" = "$name" ] || seeds+=(--peers "127.1.${DAEMON_ZONE[$other]}.${DAEMON_HOST[$other]}:7001")
+    [ "$other" = "$name" ] || seeds+=(--peers "127.1.${DAEMON_ZONE[$other]}.${DAEMON_HOST[$other]}:7002")
   done
   curl -sS -f -m 5 -X PUT "http://$PLATFORM_BIND/admin/vms/$name" -d "{\"kind\":\"daemon\",\"zone\":\"${ZONES[$((zone - 1))]}\",
     \"peer_address\":\"$reach:7001\",\"control_address\":\"$reach:7002\",\"data_address\":\"$reach:7000\"}" >/dev/null
   start "$name" bin/fulmar-balancer --name "$name" --zone "${ZONES[$((zone - 1))]}" \
-    --data-address "$bind:7000" --peer-address "$bind:7001" --control-address "$bind:7002" --admin-address "$bind:7003" \
+    --data-address "$bind:7000" --peer-address "$bind:7001" --control-address "$bind:7002" --admin-address "$bind:7003" --operator-address "$bind:7004" \
     --advertise-peer-address "$reach:7001" --advertise-control-address "$reach:7002" \
-    --platform "$PLATFORM_URL" "${seeds[@]}" --key-file "$RUN_DIR/key"
+    --platform "$PLATFORM_REACH" "${seeds[@]}" --key-file "$RUN_DIR/key"
   DAEMON_UP[$name]=1
 }
 
@@ -195,8 +198,8 @@
 admin_url() { printf 'http://%s:7003' "$(bind_ip "$1")"; }
 
 # wait_daemon NAME: until the admin address answers; wait_ready: until it has a configuration.
-wait_daemon() { wait_for 10 "$1" curl -s -o /dev/null "$(admin_url "$1")/ready"; }
-wait_ready() { wait_for 15 "readiness of $1" curl -sf "$(admin_url "$1")/ready"; }
+wait_daemon() { wait_for 10 "$1" curl -sf "$(admin_url "$1")/healthz"; }
+wait_ready() { wait_for 15 "readiness of $1" curl -sf "$(admin_url "$1")/readyz"; }
 
 fabric_add() { post "http://$FABRIC_ADMIN/daemons/add?address=$(bind_ip "$1")"; }
 fabric_remove() { post "http://$FABRIC_ADMIN/daemons/remove?address=$(bind_ip "$1")"; }
@@ -216,16 +219,14 @@
 # upstream_fault NAME FAULT QUERY, for example: upstream_fault bindery-1 lie on=true
 upstream_fault() { post "http://${UPSTREAM_IP[$1]}:9001/fault/$2?$3"; }
 
-# control runs fulmarctl against a balancer that is up.
+# control runs fulmarctl against the first balancer that is up and answers.
 control() {
-  local name
+  local name addresses=()
   for name in "${DAEMONS[@]}"; do
-    if [ -n "${DAEMON_UP[$name]:-}" ]; then
-      bin/fulmarctl --address "127.0.${DAEMON_ZONE[$name]}.${DAEMON_HOST[$name]}:7002" "$@"
-      return
-    fi
+    [ -z "${DAEMON_UP[$name]:-}" ] || addresses+=(--address "$(bind_ip "$name"):7004")
   done
-  fail "no balancer is up"
+  [ ${#addresses[@]} -gt 0 ] || fail "no balancer is up"
+  bin/fulmarctl "${addresses[@]}" "$@"
 }
 
 apply_declaration() { control apply "$DECLARATION" >>"$RUN_DIR/log/apply.log" 2>&1; }
@@ -252,8 +253,8 @@
   fabric_add "$1"
 }
 
-# save_daemon NAME FILE: keeps the counters and the generation for the summary.
-save_daemon() { curl -s -m 3 "$(admin_url "$1")/status" >"$RUN_DIR/daemon/$2.json" || true; }
+# save_daemon NAME FILE: keeps the counters for the summary.
+save_daemon() { curl -s -m 3 "$(admin_url "$1")/metrics" >"$RUN_DIR/daemon/$2.json" || true; }
 
 # stop_daemon NAME: a planned removal. Routes are withdrawn first, as on a real network.
 stop_daemon() {
@@ -313,7 +314,7 @@
   shift 2
   for entry in "${SERVICES[@]}"; do args+=(--service "$entry"); done
   bin/loadgen "${args[@]}" --duration "${seconds}s" --flows "$flows" --seed "$SEED" --report "$RUN_DIR/loadgen.json" "$@" \
-    >"$RUN_DIR/log/loadgen.log" 2>&1 &
+    >"$RUN_DIR/log/loadgen.log" 2>&1 9>&- &
   PIDS[loadgen]=$!
 }
 
@@ -334,6 +335,7 @@
 collect() {
   local name
   for name in "${!DAEMON_UP[@]}"; do save_daemon "$name" "$name"; done
+  control --timeout 3s --output json query show daemons >"$RUN_DIR/daemons.json" || true
   for name in "${!UPSTREAM_IP[@]}"; do
     running "$name" && kill -TERM "${PIDS[$name]}"
   done
--- a/standin/loadgen/loadgen_test.go
+++ b/standin/loadgen/loadgen_test.go
@@ -158,25 +158,25 @@
 			return same(p)
 		}, "non-idempotent requests run more than once"},
 		"answer of another request": {func(p *pb.Packet) []*pb.Packet {
-			if p.GetKind() == pb.Kind_KIND_ANSWER && len(p.GetPayload()) > 0 && p.GetRequestId() == 3 {
+			if p.GetKind() == pb.Kind_KIND_ANSWER && len(p.GetPayload()) > 0 && p.GetRequestId()%3 == 0 {
 				p.Payload[0]++
 			}
 			return same(p)
 		}, "wrong answers"},
 		"not run after a run": {func(p *pb.Packet) []*pb.Packet {
-			if p.GetKind() == pb.Kind_KIND_ANSWER && p.GetRequestId() == 2 {
+			if p.GetKind() == pb.Kind_KIND_ANSWER && p.GetRequestId()%5 == 0 {
 				p.Status, p.Parts = pb.Status_STATUS_NOT_RUN, 1
 			}
 			return same(p)
 		}, "false not run"},
 		"wrong service": {func(p *pb.Packet) []*pb.Packet {
-			if p.GetKind() == pb.Kind_KIND_REQUEST && p.GetRequestId() == 2 {
+			if p.GetKind() == pb.Kind_KIND_REQUEST && p.GetRequestId()%5 == 0 {
 				p.Service = 2
 			}
 			return same(p)
 		}, "upstreams with packets of another service"},
 		"flow reset": {func(p *pb.Packet) []*pb.Packet {
-			if p.GetKind() == pb.Kind_KIND_ANSWER && p.GetRequestId() == 2 {
+			if p.GetKind() == pb.Kind_KIND_ANSWER && p.GetRequestId()%5 == 0 {
 				p.Kind, p.Reason = pb.Kind_KIND_RESET, pb.Reason_REASON_OWNER_LOST
 			}
 			return same(p)
--- a/standin/loadgen/session.go
+++ b/standin/loadgen/session.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
 	"github.com/fulmarfield/fulmarfield/caller"
 	"github.com/fulmarfield/fulmarfield/standin/upstream"
 	"github.com/fulmarfield/fulmarfield/telemetry"
+	"github.com/fulmarfield/fulmarfield/wire"
 )
 
 // session is one open flow of the load.
@@ -18,8 +20,7 @@
 	rec    *recorder
 	rng    *rand.Rand
 	flow   *caller.Flow
-	// lastID follows the ids that the flow gives its requests; they are sent one at a time.
-	lastID uint64
+	conn   *watchedConn
 	lost   int
 	long   bool
 }
@@ -28,7 +29,12 @@
 func (r *runner) open(rec *recorder, rng *rand.Rand) *session {
 	ctx, cancel := context.WithTimeout(r.load, openTimeout)
 	defer cancel()
-	dialer := &caller.Dialer{Listen: r.listen, Service: rec.service.Address, Logger: r.config.Log, Counters: r.counters, Rand: rng}
+	conn := &watchedConn{}
+	listen := func(local netip.AddrPort) (_ wire.Conn, err error) {
+		conn.Conn, err = r.listen(local)
+		return conn, err
+	}
+	dialer := &caller.Dialer{Listen: listen, Service: rec.service.Address, Logger: r.config.Log, Counters: r.counters, Rand: rng}
 	start := time.Now()
 	flow, err := dialer.Open(ctx)
 	if err != nil {
@@ -37,7 +43,7 @@
 		}
 		return nil
 	}
-	s := &session{runner: r, rec: rec, rng: rng, flow: flow}
+	s := &session{runner: r, rec: rec, rng: rng, flow: flow, conn: conn}
 	rec.opened(s, time.Since(start))
 	return s
 }
@@ -119,16 +125,16 @@
 	start := time.Now()
 	answer, err := s.flow.Request(ctx, caller.Request{Payload: payload, Idempotent: idempotent, Deadline: s.runner.config.Deadline})
 	if err != nil && answer.Attempts == 0 {
-		// The flow ended before the request got an id.
+		// The flow ended before the request was sent.
 		return !s.checkBroken() && ctx.Err() == nil
 	}
-	s.lastID++
+	id := s.conn.lastRequest.Load()
 	result := outcome{
-		name: upstream.RunName(s.flow.Key().String(), s.lastID), answer: answer,
+		name: upstream.RunName(s.flow.Key().String(), id), answer: answer,
 		idempotent: idempotent, latency: time.Since(start), local: err != nil,
 	}
 	if err == nil && answer.Status == pb.Status_STATUS_OK {
-		result.wrong = upstream.VerifyAnswer(s.flow.Key(), s.lastID, payload, answer.Payload) != nil
+		result.wrong = upstream.VerifyAnswer(s.flow.Key(), id, payload, answer.Payload) != nil
 	}
 	s.rec.finished(s, result)
 	if s.checkBroken() || err != nil {
--- a/standin/summary/read.go
+++ b/standin/summary/read.go
@@ -13,6 +13,9 @@
 	"strconv"
 	"strings"
 
+	"google.golang.org/protobuf/encoding/protojson"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
 	"github.com/fulmarfield/fulmarfield/standin/loadgen"
 	"github.com/fulmarfield/fulmarfield/standin/upstream"
 )
@@ -25,7 +28,8 @@
 	SteadyFile    = "flows-steady.json"
 	EndFile       = "flows-end.json" // short reports of the upstreams near the end
 	UpstreamDir   = "upstream"       // last reports of the upstreams
-	DaemonDir     = "daemon"         // one JSON file for each balancer
+	DaemonDir     = "daemon"         // counters of each balancer, one JSON file for each
+	DaemonsFile   = "daemons.json"   // answer of a balancer to "show daemons"
 )
 
 // EventKind says whether connections may break from an event on.
@@ -57,6 +61,8 @@
 	Steady, End []upstream.Report
 	// Daemons maps a balancer's name to its numbers by dotted name.
 	Daemons map[string]map[string]float64
+	// Generations maps a balancer's name to the generation in force there, as text.
+	Generations map[string]string
 }
 
 // Read reads a run directory. Files of balancers and of snapshots may be missing; the report
@@ -84,6 +90,9 @@
 		return nil, err
 	}
 	r.Expected = strings.Fields(string(names))
+	if r.Generations, err = readGenerations(filepath.Join(dir, DaemonsFile)); err != nil {
+		return nil, err
+	}
 	if err := r.readUpstreams(filepath.Join(dir, UpstreamDir)); err != nil {
 		return nil, err
 	}
@@ -136,6 +145,34 @@
 	}
 }
 
+// readGenerations reads the answer to "show daemons"; it may be missing.
+func readGenerations(file string) (map[string]string, error) {
+	generations := map[string]string{}
+	raw, err := readOptional(file)
+	if err != nil || len(raw) == 0 {
+		return generations, err
+	}
+	answer := &pb.RunResponse{}
+	if err := protojson.Unmarshal(raw, answer); err != nil {
+		return nil, fmt.Errorf("answer to show daemons: %w", err)
+	}
+	name, generation := -1, -1
+	for i, column := range answer.GetTable().GetColumns() {
+		switch column {
+		case "daemon":
+			name = i
+		case "generation":
+			generation = i
+		}
+	}
+	for _, row := range answer.GetTable().GetRows() {
+		if cells := row.GetCells(); name >= 0 && generation >= 0 && len(cells) > max(name, generation) {
+			generations[cells[name]] = cells[generation]
+		}
+	}
+	return generations, nil
+}
+
 func (r *Run) readUpstreams(dir string) error {
 	files, err := filepath.Glob(filepath.Join(dir, "*.json"))
 	if err != nil {
--- a/standin/summary/summary_test.go
+++ b/standin/summary/summary_test.go
@@ -96,14 +96,15 @@
 	g := NewWithT(t)
 	run := readRun(t, map[string]string{
 		"loadgen.json":         load(""),
-		"daemon/schuur-1.json": `{"generation":"7"}{"retry.queue_full":{"count":2},"refusal.deadline":1}`,
-		"daemon/schuur-2.json": `{"config":{"generation":7},"counters":{"retry.queue_full":3}}`,
+		"daemon/schuur-1.json": `{"retry.queue_full":{"count":2},"refusal.deadline":1}`,
+		"daemon/schuur-2.json": `{"counters":{"retry.queue_full":3}}`,
 		"daemon/winkel-1.json": ``,
+		"daemons.json":         `{"table":{"columns":["daemon","zone","generation"],"rows":[{"cells":["schuur-1","schuur","7"]},{"cells":["winkel-1","winkel","unknown"]}]}}`,
 		"flows-end.json":       `[{"name":"a","service":"127.2.1.1:8001","flows_known":3}][{"name":"b","service":"127.2.1.1:8001","flows_known":1}]`,
 	})
 	var out strings.Builder
 	g.Expect(run.WriteTable(&out, nil)).To(Succeed())
 	g.Expect(out.String()).To(MatchRegexp(`retries by balancers +queue_full 5`))
-	g.Expect(out.String()).To(MatchRegexp(`generation in force +schuur-1 7, schuur-2 7, winkel-1 unknown`))
+	g.Expect(out.String()).To(MatchRegexp(`generation in force +schuur-1 7, winkel-1 unknown`))
 	g.Expect(out.String()).To(MatchRegexp(`imbalance, end +1.500`))
 }
--- a/standin/summary/table.go
+++ b/standin/summary/table.go
@@ -128,15 +128,8 @@
 
 func (r *Run) generations() string {
 	var all []string
-	for name, numbers := range r.Daemons {
-		value := "unknown"
-		for _, key := range []string{"generation", "config_generation", "config.generation", "configuration.generation"} {
-			if g, ok := numbers[key]; ok {
-				value = fmt.Sprint(int64(g))
-				break
-			}
-		}
-		all = append(all, name+" "+value)
+	for name, generation := range r.Generations {
+		all = append(all, name+" "+generation)
 	}
 	if len(all) == 0 {
 		return "unknown"
