--- a/daemon/node.go
+++ b/daemon/node.go
@@ -128,6 +128,7 @@
 	n.steerer = steering.New(steering.Options{
 		Config: n.relay, Router: routes, Sender: n.messenger, Output: steeringOutput{n.dispatcher},
 		Counters: o.Counters, Logger: o.Logger,
+		Isolated: func() bool { return !n.membership.View().HearsMajority() },
 	})
 	n.admissions = request.New(request.Options{
 		Self: o.Self.ID, Config: n.relay, Router: routes, Load: n.load,
--- a/membership/view.go
+++ b/membership/view.go
@@ -50,6 +50,23 @@
 	return Member{}, false
 }
 
+// HearsMajority reports whether more than half of the members that have not left can be
+// reached. Without a majority, this daemon is more likely to be cut off than the others are
+// to have died.
+func (v *View) HearsMajority() bool {
+	reachable, total := 0, 0
+	for _, m := range v.Members {
+		if m.State == pb.MemberState_MEMBER_STATE_LEFT {
+			continue
+		}
+		total++
+		if m.IsReachable() {
+			reachable++
+		}
+	}
+	return 2*reachable > total
+}
+
 // Viewer gives the current view.
 type Viewer interface {
 	// View returns the current view, never nil.
--- a/request/admission.go
+++ b/request/admission.go
@@ -22,6 +22,10 @@
 	mu     sync.Mutex
 	active bool
 	token  uint64
+	// unconfirmed is set after the loss of the previous holder until the upstream is heard
+	// from here. The holder may be alive on the other side of a cut, together with the
+	// upstream; answers about stale tokens would then be given for requests that it can run.
+	unconfirmed bool
 	guard  guard
 	queue  []*record
 	// busy holds the records that occupy a slot.
--- a/request/admit.go
+++ b/request/admit.go
@@ -83,7 +83,7 @@
 	if ms := p.GetDeadlineMs(); ms > 0 {
 		r.deadline = now.Add(time.Duration(ms) * time.Millisecond)
 	}
-	if !a.isTokenValid(r, p) {
+	if !a.isTokenValid(t, r, p) {
 		return
 	}
 	if a.guard.isBelowMark(k) {
@@ -101,12 +101,16 @@
 
 // isTokenValid checks the guard token of a request without a record. With any other token the
 // request may have been seen by another holder, so it does not run here. An idempotent one is
-// told the token and comes again with it, unless another holder has already refused it.
-func (a *admission) isTokenValid(r *record, p *pb.Packet) bool {
+// told the token and comes again with it, unless another holder has already refused it. Until
+// the upstream is heard from, the packet is dropped and the upstream is probed.
+func (a *admission) isTokenValid(t target, r *record, p *pb.Packet) bool {
 	if p.GetGuardToken() == a.token || a.engine.options.Tuning.NoGuardToken {
 		return true
 	}
 	switch {
+	case a.unconfirmed:
+		a.engine.drop("unconfirmed_holder")
+		a.toUpstream(t.address, a.packet(t.flow, pb.Kind_KIND_KEEPALIVE))
 	case r.spilled:
 		a.engine.drop("stale_spill")
 	case r.idempotent && p.GetGuardToken() == 0:
--- a/request/answer.go
+++ b/request/answer.go
@@ -13,6 +13,7 @@
 	now := time.Now()
 	a.tracker.Declare(int(t.upstream.GetSlots()), isDraining(t.upstream))
 	a.tracker.Heard(now)
+	a.confirm()
 	a.tracker.Report(now, p.GetLoad())
 	isProbed := a.heardFrom(t.flow, now)
 	switch p.GetKind() {
--- a/request/transfer.go
+++ b/request/transfer.go
@@ -47,7 +47,17 @@
 		a.out = append(a.out, effect{kind: toAdmission, target: a.resource.Index, packet: r.packet})
 	}
 	a.handback = nil
-	a.notify(!isKept && p != ownership.Fresh)
+	a.unconfirmed = p == ownership.Recovered
+	a.notify(!isKept && p == ownership.Transferred)
+}
+
+// confirm notes that the upstream is reachable from here, and has flow owners pass on the
+// guard token that the loss of the previous holder made new.
+func (a *admission) confirm() {
+	if a.unconfirmed {
+		a.unconfirmed = false
+		a.notify(true)
+	}
 }
 
 // tokenRandomBits leaves 42 bits for milliseconds, which last until the year 2109.
--- a/steering/steerer.go
+++ b/steering/steerer.go
@@ -34,6 +34,9 @@
 	Output   Output
 	Counters *telemetry.Counters
 	Logger   zerolog.Logger
+	// Isolated reports whether this daemon does not hear a majority of the daemons that it
+	// knows; nil means never.
+	Isolated func() bool
 }
 
 // Steerer serves the flow partitions that this daemon holds. It implements ownership.Keeper.
--- a/steering/unknown.go
+++ b/steering/unknown.go
@@ -102,6 +102,12 @@
 		s.replay(packets[max(0, opening):])
 		return
 	}
+	// The owner of the flow may be on the other side of a cut, where its callers' next
+	// packets arrive.
+	if s.Isolated != nil && s.Isolated() {
+		s.Counters.Drop("isolated_unknown_flow")
+		return
+	}
 	s.reset(w.flow, w.partition.service.number, reason)
 }
 
--- a/test/golden/florist_test.go
+++ b/test/golden/florist_test.go
@@ -32,7 +32,7 @@
 		r, err := s.Apply(context.Background(), "schuur-1", "apply-1", "anna")
 		s.g.Expect(err).NotTo(gomega.HaveOccurred())
 		s.log("operator anna: apply hopkrans-hoeve.yaml [apply-1]: generation %d, in force on %d daemons", r.GetGeneration(), len(r.GetInForce()))
-		time.Sleep(2 * time.Second)
+		s.wait(2 * time.Second)
 
 		florist := s.open("florist", "bindery")
 		photos := s.open("shopper", "galerij")
@@ -43,13 +43,13 @@
 		on := s.upstreamOf(florist)
 		s.log("the florist's session is on %s", on)
 		s.command("anna", "schuur-1", "drain upstream "+on, "drain-1")
-		time.Sleep(4 * time.Second)
+		s.wait(4 * time.Second)
 		florist.request("order of 2 wreaths", false, 0)
 		s.log("the florist's session is still on %s: %t", on, s.upstreamOf(florist) == on)
 
 		s.Kill("winkel-2")
 		s.log("daemon winkel-2 is killed")
-		time.Sleep(5 * time.Second)
+		s.wait(5 * time.Second)
 		florist.request("order of 5 wreaths", false, 0)
 		photos.request("photo of a bine", true, 3000)
 
@@ -61,7 +61,7 @@
 		s.query("anna", "droogvloer-1", "show change drain-1")
 		s.Platform.SetOutage(false)
 		s.log("the platform is back")
-		time.Sleep(10 * time.Second)
+		s.wait(10 * time.Second)
 
 		s.Tamper(lateAnswers)
 		s.log("parts of answers arrive late and in reverse order")
@@ -73,7 +73,7 @@
 		s.command("anna", "schuur-1", "undrain upstream "+on, "undrain-1")
 
 		twoOperators(s)
-		time.Sleep(3 * time.Second)
+		s.wait(3 * time.Second)
 		florist.request("order of 4 wreaths", false, 0)
 		s.query("anna", "schuur-1", "show services")
 		s.audit()
@@ -81,12 +81,18 @@
 	})
 }
 
+// raceDelay is the time of a store call while two operators race.
+const raceDelay = 100 * time.Millisecond
+
 // twoOperators lets two operators change the same upstreams at the same moment.
 func twoOperators(s *session) {
 	type result struct {
 		author  string
 		outcome *pb.RunResponse
 	}
+	// With a slow store, both have read the configuration before either writes.
+	s.Platform.SetDelay(raceDelay)
+	defer s.Platform.SetDelay(0)
 	results := make(chan result, 2)
 	for author, at := range map[string]string{"anna": "schuur-1", "bram": "droogvloer-2"} {
 		go func() {
@@ -106,6 +112,6 @@
 			s.t.Errorf("operator %s: %s without a reason", r.author, r.outcome.GetOutcome())
 		}
 	}
-	s.g.Expect(committed).To(gomega.BeNumerically(">=", 1))
+	s.g.Expect(committed).To(gomega.Equal(1))
 	s.log("operators anna and bram set a limit of bindery at once: committed %d, refused with the conflict %d", committed, 2-committed)
 }
--- a/test/golden/session_test.go
+++ b/test/golden/session_test.go
@@ -23,13 +23,21 @@
 	*testcluster.Cluster
 	g     *gomega.WithT
 	t     *testing.T
-	start time.Time
-	lines []string
+	// elapsed is the sum of the waits of the script. Lines show it rather than the clock, so
+	// that the jitter of retransmissions does not change them.
+	elapsed time.Duration
+	lines   []string
+}
+
+// wait lets time pass between two steps of the script.
+func (s *session) wait(d time.Duration) {
+	time.Sleep(d)
+	s.elapsed += d
 }
 
 func newSession(t *testing.T, declaration string, seed uint64) *session {
 	c := testcluster.Start(t, testcluster.Options{Declaration: declaration, Seed: seed})
-	s := &session{Cluster: c, g: gomega.NewWithT(t), t: t, start: time.Now()}
+	s := &session{Cluster: c, g: gomega.NewWithT(t), t: t}
 	t.Cleanup(func() {
 		if t.Failed() {
 			t.Log("session so far:\n" + strings.Join(s.lines, "\n"))
@@ -39,8 +47,7 @@
 }
 
 func (s *session) log(format string, args ...any) {
-	at := time.Since(s.start).Round(time.Second)
-	s.lines = append(s.lines, fmt.Sprintf("%5s  ", at)+fmt.Sprintf(format, args...))
+	s.lines = append(s.lines, fmt.Sprintf("%4s  ", s.elapsed)+fmt.Sprintf(format, args...))
 }
 
 // check compares the recorded lines with the golden file.
@@ -80,6 +87,36 @@
 	return ""
 }
 
+// openOn opens sessions until one is on the given upstream, and returns that one.
+func (s *session) openOn(name, service string) *flow {
+	for range 200 {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		f, err := s.Open(ctx, service)
+		cancel()
+		s.g.Expect(err).NotTo(gomega.HaveOccurred())
+		opened := &flow{Flow: f, s: s, caller: "another caller", service: service}
+		_, err = f.Request(context.Background(), caller.Request{Idempotent: true, Deadline: 5 * time.Second})
+		if err == nil && s.upstreamOf(opened) == name {
+			return opened
+		}
+		f.Close()
+	}
+	s.t.Fatalf("no session reached %s", name)
+	return nil
+}
+
+// keepBusy sends a request every 200 ms until stopped, without logging.
+func (f *flow) keepBusy(stopped <-chan struct{}) {
+	for {
+		_, _ = f.Request(context.Background(), caller.Request{Idempotent: true, Deadline: time.Second})
+		select {
+		case <-stopped:
+			return
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+}
+
 // request sends one request and logs its answer; whole says that the answer's digest is right.
 func (f *flow) request(what string, idempotent bool, answerBytes uint32) pb.Status {
 	f.next++
