Name dangerous declarations and count relayed bytes

Cause: a plan was silent about flows that it ends, the file of another deployment could replace everything, indexing ran under the lock that probes take, and configurations were copied in depth for each peer.

--- a/config/declaration/build.go
+++ b/config/declaration/build.go
@@ -46,6 +46,15 @@
 	return next, summary
 }
 
+// CheckDeployment returns ErrOtherDeployment when previous is the configuration of another
+// deployment, whose services a Build would remove.
+func CheckDeployment(previous *pb.Configuration, d *Declaration) error {
+	if in := previous.GetDeployment(); in != "" && in != d.Deployment {
+		return fmt.Errorf("%w: %q, in force is %q", ErrOtherDeployment, d.Deployment, in)
+	}
+	return nil
+}
+
 // Change identifies a change and its author.
 type Change struct {
 	ID     string
--- a/config/declaration/build_test.go
+++ b/config/declaration/build_test.go
@@ -96,6 +96,21 @@
 	g.Expect(next.GetDaemons()[0].GetState()).To(Equal(pb.DeclaredState_DECLARED_STATE_DRAINING))
 }
 
+// Guards against the file of another deployment, and against a plan that is silent about the
+// flows that it ends.
+func TestDangerousDeclarationsAreNamed(t *testing.T) {
+	g := NewWithT(t)
+	c := build(g, nil, valid, 0)
+	other, errs := declaration.Parse("d.yaml", []byte(strings.Replace(valid, "hopkrans-hoeve", "kelpiestone", 1)))
+	g.Expect(errs).To(BeEmpty())
+	g.Expect(declaration.CheckDeployment(c, other)).To(MatchError(declaration.ErrOtherDeployment))
+	g.Expect(declaration.CheckDeployment(nil, other)).To(Succeed())
+	without, err := declaration.RemoveUpstream(c, "", "bindery-1", true, changeAt(time.Second))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(declaration.Differences(c, without)).To(ConsistOf(
+		"bindery: remove upstream bindery-1 at 127.1.1.51:9000, number 1, which is not draining: its flows end"))
+}
+
 // Guards against table versions that are lost while flows may rest on them, or kept for ever.
 func TestTableVersions(t *testing.T) {
 	g := NewWithT(t)
--- a/config/declaration/differences.go
+++ b/config/declaration/differences.go
@@ -33,7 +33,7 @@
 	}
 	for _, before := range previous.GetServices() {
 		if news[before.GetNumber()] == nil {
-			add("remove service %s at %s", before.GetName(), before.GetAddress())
+			add("remove service %s at %s with %d upstreams, whose flows end", before.GetName(), before.GetAddress(), len(before.GetUpstreams()))
 		}
 	}
 	return lines
@@ -84,12 +84,20 @@
 	}
 	for _, u := range before.GetUpstreams() {
 		if _, gone := old[u.GetNumber()]; gone {
-			add("%s: remove upstream %s at %s, number %d", name, u.GetName(), u.GetAddress(), u.GetNumber())
+			add("%s: remove upstream %s at %s, number %d%s", name, u.GetName(), u.GetAddress(), u.GetNumber(), undrained(u))
 		}
 	}
 	return lines
 }
 
+// undrained warns of the removal of an upstream that may have established flows.
+func undrained(u *pb.Upstream) string {
+	if u.GetState() == pb.DeclaredState_DECLARED_STATE_DRAINING {
+		return ""
+	}
+	return ", which is not draining: its flows end"
+}
+
 // AimName returns the name of an aim in declarations.
 func AimName(aim pb.Aim) string { return strings.ToLower(strings.TrimPrefix(aim.String(), "AIM_")) }
 
--- a/config/declaration/errors.go
+++ b/config/declaration/errors.go
@@ -11,6 +11,8 @@
 	ErrDuplicateName    = errors.New("name is already declared")
 	ErrDuplicateAddress = errors.New("address is already declared")
 	ErrInvalidValue     = errors.New("value is not allowed")
+	// ErrOtherDeployment refuses the declaration of another deployment.
+	ErrOtherDeployment = errors.New("declaration is of another deployment")
 	// ErrNotDraining refuses the removal of an upstream that may have established flows.
 	ErrNotDraining = errors.New("upstream is not draining")
 )
--- a/config/relay/fleet_test.go
+++ b/config/relay/fleet_test.go
@@ -264,6 +264,15 @@
 	f.noProbes = on
 }
 
+// sum adds a counter up over the fleet.
+func (f *fleet) sum(counter string) int64 {
+	sum := int64(0)
+	for _, d := range f.all() {
+		sum += d.counters.Get(counter)
+	}
+	return sum
+}
+
 func (f *fleet) watchers() int {
 	n := 0
 	for _, d := range f.all() {
--- a/config/relay/peers.go
+++ b/config/relay/peers.go
@@ -7,6 +7,7 @@
 
 	"connectrpc.com/connect"
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
 
 	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
 	"github.com/fulmarfield/fulmarfield/membership"
@@ -29,11 +30,15 @@
 	startInterval = 250 * time.Millisecond
 )
 
+// relayedBytes counts the bytes of configurations sent to peers, which is control traffic.
+const relayedBytes = "config.relayed_bytes"
+
 // HandleGet answers a peer that asks for a configuration newer than its own.
 func (r *Relay) HandleGet(request *pb.GetConfigurationRequest) *pb.GetConfigurationResponse {
 	response := &pb.GetConfigurationResponse{Generation: r.Current().Generation()}
 	if response.GetGeneration() > request.GetHaveGeneration() {
 		response.Configuration = r.relayed()
+		r.options.Counters.Add(relayedBytes, int64(proto.Size(response.GetConfiguration())))
 	}
 	return response
 }
@@ -191,6 +196,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
+	r.options.Counters.Add(relayedBytes, int64(proto.Size(request.GetConfiguration())))
 	response, err := client.PushConfiguration(ctx, connect.NewRequest(request))
 	if err != nil {
 		r.options.Counters.Drop("config_push_lost")
--- a/config/relay/relay.go
+++ b/config/relay/relay.go
@@ -13,7 +13,6 @@
 
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
-	"google.golang.org/protobuf/proto"
 
 	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
 	"github.com/fulmarfield/fulmarfield/config"
@@ -134,13 +133,17 @@
 // install puts a configuration in force if it is newer. This is the only place that changes
 // the generation, so it never reverts.
 func (r *Relay) install(c *pb.Configuration, source string) bool {
+	if c.GetGeneration() <= r.Current().Generation() {
+		return false
+	}
+	// Indexing a large configuration takes long, and probes must not wait for it.
+	current := config.NewSnapshot(c)
 	r.mu.Lock()
 	previous := r.current.Load()
 	if c.GetGeneration() <= previous.Generation() {
 		r.mu.Unlock()
 		return false
 	}
-	current := config.NewSnapshot(c)
 	r.current.Store(current)
 	r.since = time.Now()
 	r.changes = append(r.changes, change{previous, current})
@@ -202,15 +205,13 @@
 	if len(c.GetHistory()) <= relayedHistory {
 		return c
 	}
-	short := &pb.Configuration{}
-	// A shallow copy: the parts are immutable.
-	proto.Merge(short, &pb.Configuration{
+	// The parts are shared, since a configuration in force is never changed.
+	return &pb.Configuration{
 		Generation: c.GetGeneration(), ChangeId: c.GetChangeId(), Author: c.GetAuthor(),
 		CommittedAtMs: c.GetCommittedAtMs(), Services: c.GetServices(), History: c.GetHistory()[:relayedHistory],
 		Daemons: c.GetDaemons(), Zones: c.GetZones(), LastUpstreamNumber: c.GetLastUpstreamNumber(),
 		Deployment: c.GetDeployment(), LastServiceNumber: c.GetLastServiceNumber(),
-	})
-	return short
+	}
 }
 
 // signal wakes one waiting goroutine; notifications while none waits are kept as one.
--- a/config/relay/relay_test.go
+++ b/config/relay/relay_test.go
@@ -39,6 +39,8 @@
 			}
 			calls := f.platform.Calls()
 			rates[size] = total(calls) / time.Since(start).Seconds()
+			t.Logf("%d daemons: %.1f configurations and %.0f bytes sent to peers for each daemon and change", size,
+				float64(f.sum("config.pushed")+f.sum("config.installed_from_peer"))/float64(size*(changes+1)), float64(f.sum("config.relayed_bytes"))/float64(size*(changes+1)))
 			t.Logf("%d daemons: idle %.3f calls/s, at %d changes %.2f calls/s %v, slowest change %v",
 				size, idle, changes, rates[size], calls, slowest)
 		})
