Assert the interfaces that platform and relay implement

Cause: a changed interface should fail where it is implemented. Change: compile-time assertions; no behaviour changes.

--- a/config/relay/relay.go
+++ b/config/relay/relay.go
@@ -61,6 +61,8 @@
 	push    *signal
 }
 
+var _ config.Provider = (*Relay)(nil)
+
 type change struct{ previous, current *config.Snapshot }
 
 // contact is the last call to the store.
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -21,6 +21,11 @@
 	watchWait time.Duration
 }
 
+var (
+	_ platform.Store    = (*Store)(nil)
+	_ platform.VMLister = (*Store)(nil)
+)
+
 // Store returns the in-memory client for callers at a source address.
 func (p *Platform) Store(source netip.Addr) *Store {
 	return &Store{platform: p, source: source, watchWait: DefaultWatchWait}
