--- a/config/relay/relay_test.go
+++ b/config/relay/relay_test.go
@@ -39,6 +39,8 @@
 			}
 			calls := f.platform.Calls()
 			rates[size] = total(calls) / time.Since(start).Seconds()
+			t.Logf("%d daemons: %.1f configurations and %.0f bytes sent to peers for each daemon and change", size,
+				float64(f.sum("config.pushed")+f.sum("config.installed_from_peer"))/float64(size*(changes+1)), float64(f.sum("config.relayed_bytes"))/float64(size*(changes+1)))
 			t.Logf("%d daemons: idle %.3f calls/s, at %d changes %.2f calls/s %v, slowest change %v",
 				size, idle, changes, rates[size], calls, slowest)
 		})
@@ -122,6 +124,34 @@
 	})
 }
 
+// Guards against a zone that stays behind, or the others with it, after it was cut from the
+// platform and from the other zones for an hour.
+func TestZoneCutFromEverythingCatchesUp(t *testing.T) {
+	runFleet(t, 12, func(g Gomega, f *fleet) {
+		cut := func(zone string, prefixes ...netip.Prefix) {
+			f.mu.Lock()
+			f.cutZone = zone
+			f.mu.Unlock()
+			f.platform.SetCut(prefixes...)
+		}
+		cut("zone-2", netip.MustParsePrefix("127.0.2.0/24"))
+		f.commit("second", 3)
+		time.Sleep(4 * time.Second)
+		for _, d := range f.all() {
+			g.Expect(d.Current().Generation() == 2).To(Equal(d.member.Zone != "zone-2"), "%v", d.member)
+		}
+		time.Sleep(time.Hour)
+		for _, d := range f.all() {
+			g.Expect(d.PlatformReachable() || d.member.Zone == "zone-2" || !d.IsWatcher()).To(BeTrue())
+		}
+		cut("")
+		t.Logf("in force after %v", f.waitAll(2, 2*time.Second))
+		f.platform.SetDelay(3 * time.Second)
+		f.commit("third", 4)
+		t.Logf("in force with a slow store after %v", f.waitAll(3, 10*time.Second))
+	})
+}
+
 // Guards against changes that stop when watchers die, and against a third watcher.
 func TestNextDaemonTakesTheWatchOver(t *testing.T) {
 	runFleet(t, 12, func(g Gomega, f *fleet) {
