--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -192,6 +192,7 @@
     --advertise-peer-address "$reach:7001" --advertise-control-address "$reach:7002" \
     --platform "$PLATFORM_REACH" "${seeds[@]}" --key-file "$RUN_DIR/key"
   DAEMON_UP[$name]=1
+  printf '%s %s\n' "$name" "$(admin_url "$name")" >>"$RUN_DIR/daemon-list"
 }
 
 bind_ip() { printf '127.0.%s.%s' "${DAEMON_ZONE[$1]}" "${DAEMON_HOST[$1]}"; }
@@ -229,6 +230,19 @@
   bin/fulmarctl "${addresses[@]}" "$@"
 }
 
+# watch_generations records about every second which generation each balancer has in force,
+# so that the summary finds one that goes back.
+watch_generations() {
+  local name url generation
+  while :; do
+    while read -r name url; do
+      generation=$(curl -s -m 1 "$url/status" | sed -n 's/.*"generation":\([0-9]*\).*/\1/p') || true
+      [ -z "$generation" ] || printf '%s\t%s\t%s\n' "$(date +%s%3N)" "$name" "$generation" >>"$RUN_DIR/generations.tsv"
+    done < <(sort -u "$RUN_DIR/daemon-list")
+    sleep 1
+  done
+}
+
 apply_declaration() { control apply "$DECLARATION" >>"$RUN_DIR/log/apply.log" 2>&1; }
 
 # cluster_start starts everything, applies the declaration and lets the fabric use all.
@@ -242,6 +256,8 @@
     wait_ready "$name"
     fabric_add "$name"
   done
+  watch_generations 9>&- &
+  PIDS[watch]=$!
 }
 
 # add_daemon NAME ZONE-NUMBER HOST: a balancer that joins a running deployment.
@@ -334,6 +350,7 @@
 # collect saves what balancers know and stops the upstreams, which then write their reports.
 collect() {
   local name
+  stop watch
   for name in "${!DAEMON_UP[@]}"; do save_daemon "$name" "$name"; done
   control --timeout 3s --output json query show daemons >"$RUN_DIR/daemons.json" || true
   for name in "${!UPSTREAM_IP[@]}"; do
--- a/standin/summary/check.go
+++ b/standin/summary/check.go
@@ -80,9 +80,24 @@
 	c.add("wrong answers", wrong)
 	c.add("connections broken by a planned change", planned)
 	c.add("new flows on a draining upstream after 3 s", r.lateOpens())
+	c.add("configurations that went back", r.reverts())
 	return c.violations
 }
 
+// reverts finds balancers that went to an older generation. One that has no configuration
+// yet, after a restart, reports generation 0.
+func (r *Run) reverts() []string {
+	newest := map[string]uint64{}
+	var all []string
+	for _, s := range r.Seen {
+		if s.Generation > 0 && s.Generation < newest[s.Daemon] {
+			all = append(all, fmt.Sprintf("%s (%d after %d)", s.Daemon, s.Generation, newest[s.Daemon]))
+		}
+		newest[s.Daemon] = max(newest[s.Daemon], s.Generation)
+	}
+	return all
+}
+
 // checkComplete refuses a run that proves nothing: without answers, or without the report of
 // each upstream.
 func (r *Run) checkComplete(c *checker) {
--- a/standin/summary/read.go
+++ b/standin/summary/read.go
@@ -26,10 +26,11 @@
 	EventsFile    = "events.tsv"    // Unix ms, kind and text of each event
 	UpstreamsFile = "upstreams.txt" // names of the upstreams that must have reported
 	SteadyFile    = "flows-steady.json"
-	EndFile       = "flows-end.json" // short reports of the upstreams near the end
-	UpstreamDir   = "upstream"       // last reports of the upstreams
-	DaemonDir     = "daemon"         // counters of each balancer, one JSON file for each
-	DaemonsFile   = "daemons.json"   // answer of a balancer to "show daemons"
+	EndFile       = "flows-end.json"  // short reports of the upstreams near the end
+	UpstreamDir   = "upstream"        // last reports of the upstreams
+	DaemonDir     = "daemon"          // counters of each balancer, one JSON file for each
+	SeenFile      = "generations.tsv" // Unix ms, balancer and generation in force, in order
+	DaemonsFile   = "daemons.json"    // answer of a balancer to "show daemons"
 )
 
 // EventKind says whether connections may break from an event on.
@@ -42,8 +43,8 @@
 	Info    EventKind = "info"
 )
 
-// ErrBadEvent reports a malformed line of the events file.
-var ErrBadEvent = errors.New("event is not MS, KIND and TEXT separated by tabs")
+// ErrBadLine reports a malformed line of the events or of the generations.
+var ErrBadLine = errors.New("line is not a time in ms and two fields separated by tabs")
 
 // Event is something that the run did to the system.
 type Event struct {
@@ -63,6 +64,15 @@
 	Daemons map[string]map[string]float64
 	// Generations maps a balancer's name to the generation in force there, as text.
 	Generations map[string]string
+	// Seen are the generations in force during the run, in order.
+	Seen []Sighting
+}
+
+// Sighting is the generation in force on a balancer at a moment.
+type Sighting struct {
+	AtMS       int64
+	Daemon     string
+	Generation uint64
 }
 
 // Read reads a run directory. Files of balancers and of snapshots may be missing; the report
@@ -76,7 +86,7 @@
 	if err := json.Unmarshal(raw, &r.Load); err != nil {
 		return nil, fmt.Errorf("report of the load generator: %w", err)
 	}
-	if r.Events, err = readEvents(filepath.Join(dir, EventsFile)); err != nil {
+	if err := errors.Join(r.readEvents(filepath.Join(dir, EventsFile)), r.readSeen(filepath.Join(dir, SeenFile))); err != nil {
 		return nil, err
 	}
 	if r.Steady, err = readReports(filepath.Join(dir, SteadyFile)); err != nil {
@@ -107,24 +117,41 @@
 	return raw, nil
 }
 
-func readEvents(file string) ([]Event, error) {
+// readTimed reads lines of a Unix time in milliseconds and two more fields.
+func readTimed(file string, take func(atMS int64, second, third string) error) error {
 	raw, err := readOptional(file)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	var events []Event
 	for lines := bufio.NewScanner(bytes.NewReader(raw)); lines.Scan(); {
 		fields := strings.SplitN(lines.Text(), "\t", 3)
 		if len(fields) != 3 {
-			return nil, fmt.Errorf("%q: %w", lines.Text(), ErrBadEvent)
+			return fmt.Errorf("%q: %w", lines.Text(), ErrBadLine)
 		}
 		at, err := strconv.ParseInt(fields[0], 10, 64)
+		if err == nil {
+			err = take(at, fields[1], fields[2])
+		}
 		if err != nil {
-			return nil, fmt.Errorf("%q: %w", lines.Text(), ErrBadEvent)
+			return fmt.Errorf("%q: %w: %w", lines.Text(), ErrBadLine, err)
 		}
-		events = append(events, Event{AtMS: at, Kind: EventKind(fields[1]), Text: fields[2]})
 	}
-	return events, nil
+	return nil
+}
+
+func (r *Run) readEvents(file string) error {
+	return readTimed(file, func(atMS int64, kind, text string) error {
+		r.Events = append(r.Events, Event{AtMS: atMS, Kind: EventKind(kind), Text: text})
+		return nil
+	})
+}
+
+func (r *Run) readSeen(file string) error {
+	return readTimed(file, func(atMS int64, daemon, generation string) error {
+		n, err := strconv.ParseUint(generation, 10, 64)
+		r.Seen = append(r.Seen, Sighting{AtMS: atMS, Daemon: daemon, Generation: n})
+		return err
+	})
 }
 
 // readReports reads arrays of reports that follow each other.
--- a/standin/summary/summary_test.go
+++ b/standin/summary/summary_test.go
@@ -91,6 +91,18 @@
 	g.Expect(rules(readRun(t, files))).To(ConsistOf("new flows on a draining upstream after 3 s"))
 }
 
+// Guards against a configuration that reverts unnoticed, and against an alarm at a restart.
+func TestRevertsAreFound(t *testing.T) {
+	g := NewWithT(t)
+	files := map[string]string{
+		"loadgen.json":    load(""),
+		"generations.tsv": "1\tschuur-1\t3\n2\tschuur-2\t2\n3\tschuur-1\t0\n4\tschuur-1\t3\n",
+	}
+	g.Expect(rules(readRun(t, files))).To(BeEmpty())
+	files["generations.tsv"] += "5\tschuur-1\t2\n"
+	g.Expect(rules(readRun(t, files))).To(ConsistOf("configurations that went back"))
+}
+
 // Guards against counters and generations of balancers that are lost in the table.
 func TestTableShowsBalancers(t *testing.T) {
 	g := NewWithT(t)
