--- a/steering/decide.go
+++ b/steering/decide.go
@@ -91,7 +91,7 @@
 // gone.
 func (s *Steerer) steerKnown(p *partition, v *serviceView, h wire.Header, r record, now instant) decision {
 	if reason := v.deathOf(r, now.unixMS); reason != pb.Reason_REASON_UNSPECIFIED {
-		s.end(p, v, h.Flow)
+		s.close(p, v, h.Flow, now)
 		return resetFor(reason)
 	}
 	if v.upstreams[r.upstream] == nil {
@@ -101,10 +101,8 @@
 	r.last = now.tick
 	switch {
 	case endsFlow(h.Kind):
-		if !r.has(flagClosed) {
-			s.tellEnded(p, h.Flow, p.uncount(v, h.Flow, r))
-			r.flags = r.flags&^flagException | flagClosed
-		}
+		s.close(p, v, h.Flow, now)
+		return sendTo(r.upstream)
 	case h.Kind == pb.Kind_KIND_OPEN:
 		if r.has(flagClosed) {
 			s.insert(p, v, h.Flow, record{upstream: r.upstream, last: now.tick}, now)
@@ -149,6 +147,18 @@
 	}
 }
 
+// close ends a flow but keeps its record for a while: late packets get the same upstream or the
+// same reset, and not that of the bucket. The caller holds p.mu.
+func (s *Steerer) close(p *partition, v *serviceView, flow wire.FlowKey, now instant) {
+	r := p.flows[flow]
+	if !r.has(flagClosed) {
+		s.tellEnded(p, flow, p.uncount(v, flow, r))
+		r.flags = r.flags&^flagException | flagClosed
+	}
+	r.last = now.tick
+	p.flows[flow] = r
+}
+
 // end removes a record and tells the successor if it knows the flow. The caller holds p.mu.
 func (s *Steerer) end(p *partition, v *serviceView, flow wire.FlowKey) {
 	s.tellEnded(p, flow, p.remove(v, flow))
--- a/steering/fault_test.go
+++ b/steering/fault_test.go
@@ -114,6 +114,11 @@
 		before := a.flowsOn(4, 1)[0]
 		stable := a.flowsOn(1, 1)[0]
 		c.declare(drain(4))
+		up, _ := a.packet(before, kindData, 0)
+		g.Expect(up).To(BeEquivalentTo(4), "this owner has recorded all flows since the change")
+		a.packet(before, pb.Kind_KIND_CLOSE, 0)
+		a.release()
+		a.activate(nil, ownership.Recovered) // Now the bucket changed before the activation.
 		a.previous = []membership.DaemonID{"c"}
 		up, reason := a.packet(before, kindData, 300*time.Millisecond)
 		g.Expect([]any{up, reason}).To(Equal([]any{uint32(0), pb.Reason_REASON_UNKNOWN_FLOW}))
--- a/steering/flowtable.go
+++ b/steering/flowtable.go
@@ -68,8 +68,8 @@
 	exceptions map[wire.FlowKey]exception
 	waits      map[wire.FlowKey]*wait
 	successor  membership.DaemonID
-	// base is the table at a complete transfer, at baseAt: flows left out of the transfer
-	// were on its upstreams then.
+	// base is the table of the activation, at baseAt: flows that no record came of were on
+	// its upstreams then, if their bucket was stable.
 	base   *table
 	baseAt instant
 }
--- a/steering/keeper.go
+++ b/steering/keeper.go
@@ -36,9 +36,9 @@
 		p.view = owner.view.Load()
 	}
 	v := p.view
+	p.base, p.baseAt = v.table, now
 	released := s.copies.take(r)
 	if provenance == ownership.Transferred {
-		p.base, p.baseAt = v.table, now
 		released = nil // The records are newer and complete.
 	}
 	s.merge(p, v, released, now)
--- a/steering/pacer.go
+++ b/steering/pacer.go
@@ -75,10 +75,10 @@
 	if !ok || p.released || r.has(flagClosed) {
 		return pb.Reason_REASON_UNSPECIFIED
 	}
-	v := p.view
-	reason := v.deathOf(r, s.now().unixMS)
+	now := s.now()
+	reason := p.view.deathOf(r, now.unixMS)
 	if reason != pb.Reason_REASON_UNSPECIFIED {
-		s.end(p, v, flow)
+		s.close(p, p.view, flow, now)
 	}
 	return reason
 }
--- a/steering/run.go
+++ b/steering/run.go
@@ -88,7 +88,7 @@
 	}
 }
 
-// held returns the partitions that this daemon holds, in a fixed order.
+// held returns the partitions that this daemon holds.
 func (s *Steerer) held() []*partition {
 	var found []*partition
 	for _, owner := range *s.services.Load() {
@@ -104,10 +104,12 @@
 // walk visits a part of the partitions and replica shards: successors, expiry and refreshes.
 func (s *Steerer) walk() {
 	s.cursor = (s.cursor + 1) % walkTicks
-	for _, p := range s.held() {
-		if int(p.resource.Index)%walkTicks == s.cursor {
-			s.expire(p)
-			s.refreshSuccessor(p)
+	for _, owner := range *s.services.Load() {
+		for i := s.cursor; i < len(owner.partitions); i += walkTicks {
+			if p := owner.partitions[i].Load(); p != nil {
+				s.expire(p)
+				s.refreshSuccessor(p)
+			}
 		}
 	}
 	now := s.now().tick
--- a/steering/state_test.go
+++ b/steering/state_test.go
@@ -94,6 +94,8 @@
 		_, toCaller := a.take()
 		g.Expect(toCaller).To(HaveLen(1))
 		g.Expect(toCaller[0].Reason).To(Equal(pb.Reason_REASON_UPSTREAM_DRAINING))
+		_, reason := a.packet(i, kindData, 0)
+		g.Expect(reason).To(Equal(pb.Reason_REASON_UPSTREAM_DRAINING), "told again, and not sent to another")
 		g.Expect(a.Stats().Flows).To(BeEquivalentTo(1))
 		time.Sleep(defaultIdleLimit)
 		g.Expect(a.Stats().Flows).To(BeZero())
--- a/steering/unknown.go
+++ b/steering/unknown.go
@@ -37,8 +37,8 @@
 	if v.table.stable(bucket, now.unixMS, v.idleLimit) {
 		return v.table.upstream(bucket)
 	}
-	// A complete transfer leaves out only flows on a stable bucket's upstream of that time.
-	// Older ones than the idle limit have sent a packet since or have ended.
+	// At its activation this owner got the records of all other flows, by a transfer or by the
+	// replicas. After the idle limit, flows of that time have sent a packet or have ended.
 	if p.base != nil && now.unixMS-p.baseAt.unixMS < v.idleLimit.Milliseconds() &&
 		p.base.stable(bucket, p.baseAt.unixMS, v.idleLimit) {
 		return p.base.upstream(bucket)
