--- a/request/engine.go
+++ b/request/engine.go
@@ -62,9 +62,12 @@
 	options Options
 	done    chan struct{}
 
+	// mu is taken before the mutex of an admission, never after it.
 	mu         sync.RWMutex
 	admissions map[uint32]*admission
-	budgets    map[uint32]*budget
+
+	budgetMu sync.Mutex
+	budgets  map[uint32]*budget
 
 	randMu sync.Mutex
 }
@@ -210,14 +213,8 @@
 
 // budgetOf returns the retry budget of a service.
 func (e *Engine) budgetOf(service uint32) *budget {
-	e.mu.RLock()
-	b := e.budgets[service]
-	e.mu.RUnlock()
-	if b != nil {
-		return b
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	e.budgetMu.Lock()
+	defer e.budgetMu.Unlock()
 	if e.budgets[service] == nil {
 		e.budgets[service] = newBudget()
 	}
--- a/request/task.go
+++ b/request/task.go
@@ -36,13 +36,27 @@
 		if a.engine.remove(a) {
 			return
 		}
-		a.locked(a.tick)
+		isElsewhere := a.isHeldElsewhere()
+		a.locked(func() { a.tick(isElsewhere) })
 		timer.Reset(idleTick)
 	}
 }
 
+// isHeldElsewhere reports whether queued requests can go to a new holder. The Router is asked
+// without the mutex, since it may be calling Release at the same time.
+func (a *admission) isHeldElsewhere() bool {
+	a.mu.Lock()
+	isDue := len(a.handback) > 0 && time.Since(a.released) >= handbackDelay
+	a.mu.Unlock()
+	if !isDue {
+		return false
+	}
+	to, active, ok := a.engine.options.Router.Route(a.resource)
+	return ok && !active && to != a.engine.options.Self
+}
+
 // tick handles everything that is due.
-func (a *admission) tick() {
+func (a *admission) tick(isElsewhere bool) {
 	now := time.Now()
 	t, ok := a.currentTarget()
 	if !ok {
@@ -53,7 +67,9 @@
 	a.expireQueue(now)
 	a.expireBusy(t, now)
 	a.probe(t, now)
-	a.handBack(now)
+	if isElsewhere {
+		a.handBack(now)
+	}
 	if a.guard.expire(now) {
 		a.renewToken()
 	}
@@ -128,19 +144,8 @@
 	a.notify(true)
 }
 
-// handBack passes requests that were queued at the release to the new holder, once it is known.
+// handBack passes requests that were queued at the release to the new holder.
 func (a *admission) handBack(now time.Time) {
-	if len(a.handback) == 0 || now.Sub(a.released) < handbackDelay {
-		return
-	}
-	if now.Sub(a.released) > defaultDeadline {
-		a.handback = nil
-		return
-	}
-	to, active, ok := a.engine.options.Router.Route(a.resource)
-	if !ok || active || to == a.engine.options.Self {
-		return
-	}
 	for _, r := range a.handback {
 		left := r.deadline.Sub(now)
 		if left <= 0 {
--- a/request/transfer.go
+++ b/request/transfer.go
@@ -172,7 +172,7 @@
 	defer e.mu.Unlock()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.active || len(a.busy) > 0 || len(a.handback) > 0 || time.Since(a.released) < recordLife {
+	if a.active || len(a.busy) > 0 || time.Since(a.released) < recordLife {
 		return false
 	}
 	delete(e.admissions, a.resource.Index)
--- a/request/world_test.go
+++ b/request/world_test.go
@@ -94,12 +94,17 @@
 	for i := uint32(1); i <= uint32(n); i++ {
 		w.activate("a", i, nil, ownership.Fresh)
 	}
+	defer w.stop()
 	body(w)
+}
+
+// stop ends every task, also after a failed expectation.
+func (w *world) stop() {
 	for _, f := range w.open {
 		f.Close()
 	}
 	_ = w.front.Close()
-	cancel()
+	w.cancel()
 }
 
 func (w *world) start(ctx context.Context, id membership.DaemonID, tuning request.Tuning) {
