--- a/Makefile
+++ b/Makefile
@@ -50,3 +50,10 @@
 
 model:
 	@if [ -x spec/check.sh ]; then spec/check.sh; fi
+
+# DEPLOYMENT is hopkrans-hoeve or kelpiestone-engraving.
+DEPLOYMENT ?= hopkrans-hoeve
+SEED ?= 1
+
+demo: build
+	scripts/demo.sh --deployment $(DEPLOYMENT) --seed $(SEED)
--- a/request/admission.go
+++ b/request/admission.go
@@ -26,8 +26,8 @@
 	// from here. The holder may be alive on the other side of a cut, together with the
 	// upstream; answers about stale tokens would then be given for requests that it can run.
 	unconfirmed bool
-	guard  guard
-	queue  []*record
+	guard       guard
+	queue       []*record
 	// busy holds the records that occupy a slot.
 	busy     map[requestKey]*record
 	tracker  *load.Tracker
--- a/test/golden/session_test.go
+++ b/test/golden/session_test.go
@@ -21,8 +21,8 @@
 // session records what operators and callers see, one line an event, in virtual time.
 type session struct {
 	*testcluster.Cluster
-	g     *gomega.WithT
-	t     *testing.T
+	g *gomega.WithT
+	t *testing.T
 	// elapsed is the sum of the waits of the script. Lines show it rather than the clock, so
 	// that the jitter of retransmissions does not change them.
 	elapsed time.Duration
