--- a/client/print.go
+++ b/client/print.go
@@ -28,8 +28,11 @@
 	Format Format
 }
 
+// printf writes to the output; a terminal that went away has no one to tell.
+func (p Printer) printf(format string, args ...any) { _, _ = fmt.Fprintf(p.Out, format, args...) }
+
 func (p Printer) json(m proto.Message) {
-	fmt.Fprintln(p.Out, protojson.MarshalOptions{Multiline: true, EmitUnpopulated: true}.Format(m))
+	p.printf("%s\n", protojson.MarshalOptions{Multiline: true, EmitUnpopulated: true}.Format(m))
 }
 
 // Plan prints what a declaration would change.
@@ -52,7 +55,7 @@
 	p.lines("error: ", r.GetErrors())
 	p.outcome(r.GetOutcome(), r.GetReason(), r.GetChangeId())
 	if r.GetGeneration() > 0 {
-		fmt.Fprintf(p.Out, "generation %d\n", r.GetGeneration())
+		p.printf("generation %d\n", r.GetGeneration())
 	}
 	p.inForce(r.GetInForce(), r.GetNotConfirmed())
 	p.basis(r.GetBasis())
@@ -75,7 +78,7 @@
 
 func (p Printer) lines(prefix string, lines []string) {
 	for _, l := range lines {
-		fmt.Fprintln(p.Out, prefix+l)
+		p.printf("%s%s\n", prefix, l)
 	}
 }
 
@@ -89,15 +92,15 @@
 	if reason != "" {
 		text += ": " + reason
 	}
-	fmt.Fprintln(p.Out, text)
+	p.printf("%s\n", text)
 }
 
 func (p Printer) inForce(inForce, notConfirmed []string) {
 	if len(inForce) > 0 {
-		fmt.Fprintln(p.Out, "in force on:", strings.Join(inForce, ", "))
+		p.printf("in force on: %s\n", strings.Join(inForce, ", "))
 	}
 	if len(notConfirmed) > 0 {
-		fmt.Fprintln(p.Out, "not confirmed by:", strings.Join(notConfirmed, ", "))
+		p.printf("not confirmed by: %s\n", strings.Join(notConfirmed, ", "))
 	}
 }
 
@@ -106,9 +109,9 @@
 		return
 	}
 	w := tabwriter.NewWriter(p.Out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, strings.ToUpper(strings.Join(t.GetColumns(), "\t")))
+	_, _ = fmt.Fprintln(w, strings.ToUpper(strings.Join(t.GetColumns(), "\t")))
 	for _, r := range t.GetRows() {
-		fmt.Fprintln(w, strings.Join(r.GetCells(), "\t"))
+		_, _ = fmt.Fprintln(w, strings.Join(r.GetCells(), "\t"))
 	}
 	// The writer is in memory or a terminal; a failed write has no one to tell.
 	_ = w.Flush()
@@ -127,6 +130,6 @@
 	if len(b.GetMissing()) > 0 {
 		missing = strings.Join(b.GetMissing(), ", ")
 	}
-	fmt.Fprintf(p.Out, "# generation %d, in force for %s; heard from %s; missing: %s; platform %s\n",
+	p.printf("# generation %d, in force for %s; heard from %s; missing: %s; platform %s\n",
 		b.GetGeneration(), age, strings.Join(b.GetHeard(), ", "), missing, platform)
 }
--- a/client/program.go
+++ b/client/program.go
@@ -68,13 +68,13 @@
 	parser := flags.NewNamedParser("fulmarctl", flags.HelpFlag|flags.PassDoubleDash|flags.PassAfterNonOption)
 	parser.Usage = usage
 	if _, err := parser.AddGroup("Options", "", &p.flags); err != nil {
-		fmt.Fprintln(errOut, err)
+		p.complain("%v\n", err)
 		return ExitUsage
 	}
 	rest, err := parser.ParseArgs(args)
 	var flagsErr *flags.Error
 	if errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp {
-		fmt.Fprintln(out, flagsErr.Message)
+		_, _ = fmt.Fprintln(out, flagsErr.Message)
 		return ExitOK
 	}
 	if err == nil && len(rest) == 0 {
@@ -84,7 +84,7 @@
 		err = p.connect(out)
 	}
 	if err != nil {
-		fmt.Fprintln(errOut, err)
+		p.complain("%v\n", err)
 		return ExitUsage
 	}
 	return p.run(rest[0], rest[1:])
@@ -134,8 +134,11 @@
 	}
 }
 
+// complain writes to the error output.
+func (p *Program) complain(format string, args ...any) { _, _ = fmt.Fprintf(p.errOut, format, args...) }
+
 func (p *Program) usageError(text string) int {
-	fmt.Fprintln(p.errOut, text)
+	p.complain("%s\n", text)
 	return ExitUsage
 }
 
@@ -149,13 +152,13 @@
 	}
 	if _, errs := declaration.Parse(args[0], data); len(errs) > 0 {
 		for _, line := range errs.Lines() {
-			fmt.Fprintln(p.errOut, line)
+			p.complain("%s\n", line)
 		}
 		return ExitUsage
 	}
 	switch command {
 	case "validate":
-		fmt.Fprintln(p.printer.Out, args[0]+": valid")
+		p.printer.printf("%s: valid\n", args[0])
 		return ExitOK
 	case "plan":
 		r, err := p.client.Plan(ctx, args[0], data)
@@ -198,9 +201,9 @@
 
 // noAnswer says that the outcome of a change is unknown and how to ask for it.
 func (p *Program) noAnswer(err error, changeID string) int {
-	fmt.Fprintln(p.errOut, err)
+	p.complain("%v\n", err)
 	if changeID != "" {
-		fmt.Fprintf(p.errOut, "outcome unknown; ask later with: query show change %s\n", changeID)
+		p.complain("outcome unknown; ask later with: query show change %s\n", changeID)
 	}
 	return ExitNoAnswer
 }
@@ -238,7 +241,7 @@
 	if err != nil {
 		return p.usageError(err.Error())
 	}
-	defer f.Close()
+	defer func() { _ = f.Close() }() // read only
 	scanner := bufio.NewScanner(f)
 	for n := 1; scanner.Scan(); n++ {
 		line := strings.TrimSpace(scanner.Text())
@@ -246,7 +249,7 @@
 			continue
 		}
 		if status := p.line(ctx, line); status != ExitOK {
-			fmt.Fprintf(p.errOut, "%s:%d: stopped at %q\n", args[0], n, line)
+			p.complain("%s:%d: stopped at %q\n", args[0], n, line)
 			return status
 		}
 	}
--- a/client/prompt.go
+++ b/client/prompt.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"fmt"
 	"os"
 	"strings"
 
@@ -60,7 +59,7 @@
 	case "exit", "quit":
 		return false
 	case "help":
-		fmt.Fprintln(p.printer.Out, strings.Join(append(append([]string{}, query.Forms...), command.Forms...), "\n"))
+		p.printer.printf("%s\n", strings.Join(append(append([]string{}, query.Forms...), command.Forms...), "\n"))
 	default:
 		p.line(ctx, line)
 	}
--- a/daemon/app.go
+++ b/daemon/app.go
@@ -216,13 +216,11 @@
 func (l *listeners) serve(failed chan<- error) {
 	for i, server := range l.servers {
 		go func() {
-			err := error(nil)
+			serve := func() error { return server.Serve(l.sockets[i]) }
 			if server.TLSConfig != nil {
-				err = server.ServeTLS(l.sockets[i], "", "")
-			} else {
-				err = server.Serve(l.sockets[i])
+				serve = func() error { return server.ServeTLS(l.sockets[i], "", "") }
 			}
-			if !errors.Is(err, http.ErrServerClosed) {
+			if err := serve(); !errors.Is(err, http.ErrServerClosed) {
 				failed <- fmt.Errorf("serve %s: %w", l.sockets[i].Addr(), err)
 			}
 		}()
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -266,8 +266,8 @@
 	for {
 		count, err := n.dispatcher.conn.ReadBatch(batch)
 		if err != nil {
-			if ctx.Err() != nil || errors.Is(err, wire.ErrClosed) {
-				return nil
+			if errors.Is(err, wire.ErrClosed) {
+				return ctx.Err()
 			}
 			return fmt.Errorf("read packets: %w", err)
 		}
--- a/test/failure/failure_test.go
+++ b/test/failure/failure_test.go
@@ -102,6 +102,7 @@
 	for _, declaration := range []string{hopkrans, kelpiestone} {
 		for name, change := range planned {
 			t.Run(name, func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					w := run(t, declaration, 1, func(c *testcluster.Cluster, _ *workload) { change(t, c) })
 					if len(w.broken) > 0 || w.statuses["non-idempotent OUTCOME_UNKNOWN stale_guard"] > 0 {
@@ -182,6 +183,7 @@
 	for name, fault := range faults {
 		for seed := uint64(1); seed <= 2; seed++ {
 			t.Run(fmt.Sprintf("%s/seed %d", name, seed), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					run(t, hopkrans, seed, func(c *testcluster.Cluster, _ *workload) { fault(c, seed) })
 				})
@@ -198,6 +200,7 @@
 				continue
 			}
 			t.Run(first+" and "+second, func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					run(t, kelpiestone, 5, func(c *testcluster.Cluster, _ *workload) {
 						var wg sync.WaitGroup
