Bound control traffic while zones are cut

Cause: each lost member was retried by itself, drops were passed on although each daemon finds them by its own timer, and announcements used up the repetitions of a change. Change: one lost member is retried per second; drops are not passed on; announcements do not count as repetitions; a claim asks 3 ranks instead of 4; complete exchanges are 5 s apart.

--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -34,15 +34,17 @@
 	}
 }
 
-// take appends up to maxChanges changes in all to dst, the least repeated first, and counts
-// them as passed on. Changes of the member skip are left out.
-func (g *gossip) take(dst []*pb.Member, skip DaemonID) []*pb.Member {
+// take appends changes to dst, up to maxChanges in all and the least repeated first. Changes
+// of the member skip are left out. count makes them count as passed on.
+func (g *gossip) take(dst []*pb.Member, skip DaemonID, count bool) []*pb.Member {
 	sort.SliceStable(g.changes, func(i, j int) bool { return g.changes[i].left > g.changes[j].left })
 	kept := g.changes[:0]
 	for _, c := range g.changes {
 		if len(dst) < maxChanges && c.member.ID != skip {
 			dst = append(dst, c.member.Proto())
-			c.left--
+			if count {
+				c.left--
+			}
 		}
 		if c.left > 0 {
 			kept = append(kept, c)
--- a/membership/join.go
+++ b/membership/join.go
@@ -16,7 +16,7 @@
 	seedRetryMin = 200 * time.Millisecond
 	seedRetryMax = 30 * time.Second
 	// syncPause is the shortest time between two complete exchanges.
-	syncPause = time.Second
+	syncPause = 5 * time.Second
 )
 
 // joinState says when this daemon contacts seeds and when it exchanges complete views.
@@ -30,6 +30,8 @@
 	syncAt   time.Time
 	lastSync time.Time
 	syncing  bool
+	// retryAt is the earliest time to contact another member that is gone.
+	retryAt time.Time
 }
 
 // startJoin makes the next check contact the seeds and holds the view to be unsettled.
@@ -218,23 +220,29 @@
 	return nil
 }
 
-// retryGone probes members that are gone, with back-off. The probe tells the member its
-// state here, which it refutes if it lives.
+// retryGone probes the member that is gone and due for the longest time, with back-off for
+// each and retryPause between any two. The probe tells the member its state here, which it
+// refutes if it lives.
 func (m *Membership) retryGone(now time.Time) {
 	m.mu.Lock()
-	var targets []Member
-	var datagrams []*pb.PeerDatagram
+	var due *entry
 	for _, e := range m.entries {
 		if !e.isGone() || e.State == pb.MemberState_MEMBER_STATE_LEFT || now.Before(e.retryAt) {
 			continue
 		}
-		e.retryDelay = min(max(2*e.retryDelay, retryMin), retryMax)
-		e.retryAt = now.Add(m.jitter(e.retryDelay))
-		targets = append(targets, e.Member)
-		datagrams = append(datagrams, m.probeDatagram(e.ID, m.nextNonce(), true))
+		if due == nil || e.retryAt.Before(due.retryAt) {
+			due = e
+		}
 	}
-	m.mu.Unlock()
-	for i, target := range targets {
-		m.send(target, datagrams[i])
+	if due == nil || now.Before(m.join.retryAt) {
+		m.mu.Unlock()
+		return
 	}
+	m.join.retryAt = now.Add(m.jitter(retryPause))
+	due.retryDelay = min(max(2*due.retryDelay, retryMin), retryMax)
+	due.retryAt = now.Add(m.jitter(due.retryDelay))
+	target := due.Member
+	d := m.probeDatagram(target.ID, m.nextNonce(), true)
+	m.mu.Unlock()
+	m.send(target, d)
 }
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -90,7 +90,12 @@
 	if wasGone && !e.isGone() {
 		m.join.syncWith = said.ID
 	}
-	m.gossip.add(said, m.size())
+	if said.State == pb.MemberState_MEMBER_STATE_DROPPED {
+		// Each daemon that heard of the suspicion drops the member by its own timer.
+		m.gossip.remove(said.ID)
+	} else {
+		m.gossip.add(said, m.size())
+	}
 	m.options.Counters.Count("membership." + stateName(said.State))
 	m.options.Logger.Info().Str("event", "member_"+stateName(said.State)).Str("member", string(said.ID)).
 		Uint64("incarnation", said.Incarnation).Send()
--- a/membership/options.go
+++ b/membership/options.go
@@ -31,9 +31,10 @@
 	urgentPeers = 12
 	urgentPause = 500 * time.Millisecond
 	maxChanges  = 4
-	// repeatFactor times the logarithm of the number of members is how often a change is
-	// passed on. In the published analysis of SWIM, 3 reaches every member with high probability.
-	repeatFactor = 3
+	// repeatFactor times the binary logarithm of the number of members is how often a change
+	// is passed on. The analysis of SWIM asks for a small multiple of the logarithm; a complete
+	// exchange of views repairs the rest.
+	repeatFactor = 2
 
 	tickInterval = 50 * time.Millisecond
 	fetchTimeout = 800 * time.Millisecond
@@ -41,6 +42,9 @@
 	// is found within about retryMax and a long one costs little.
 	retryMin = 500 * time.Millisecond
 	retryMax = 5 * time.Second
+	// retryPause bounds the contacts to all members that are gone together: one that answers
+	// leads to the others.
+	retryPause = time.Second
 	// syncInterval is the time between two complete exchanges with a random member. They
 	// repair a view that missed every repetition of a change.
 	syncInterval = 30 * time.Second
--- a/membership/target.go
+++ b/membership/target.go
@@ -71,9 +71,11 @@
 	}
 	if introduce {
 		changes = append(changes, m.self.Proto())
-		return m.gossip.take(changes, m.self.ID)
+		// Datagrams beside the regular probes do not count: an announcement to many peers
+		// would use up the repetitions before all of them have the change.
+		return m.gossip.take(changes, m.self.ID, false)
 	}
-	return m.gossip.take(changes, to)
+	return m.gossip.take(changes, to, true)
 }
 
 // send sends to a member by its address. A datagram that cannot be sent is lost like any other.
--- a/ownership/slot.go
+++ b/ownership/slot.go
@@ -89,7 +89,7 @@
 func (s *slot) applyView(o *Ownership, view *membership.View, list []candidate, now time.Time) {
 	old := s.desired()
 	s.ranked = rank(list, s.hash, s.zone, ranks, membership.Member.CanOwn)
-	s.holders = rank(list, s.hash, s.zone, ranks+1, membership.Member.IsReachable)
+	s.holders = rank(list, s.hash, s.zone, ranks, membership.Member.IsReachable)
 	if desired := s.desired(); desired != old {
 		m, _ := view.Member(desired)
 		s.desiredIncarnation = m.Incarnation
