Wait for calls before a leave ends and schedule reclaims at once

Cause: a leave could end while the answer to a claim was bringing records; after a resource was claimed away, the next step waited for an unrelated event for up to 5 s; a test of the reclaim delay passed without the delay for that reason. Tests of ownership raced with the first step of Run. Change: Leave waits for calls in progress; claims and offers that arrive wake the loop; the tests settle the view only after their preparation. Killed daemons no longer answer calls in the cluster tests. Conclusion: without the wait or without the delay, TestLeaveWaitsForCalls and TestReclaimIsHeldBack fail.

--- a/internal/clustertest/cluster.go
+++ b/internal/clustertest/cluster.go
@@ -159,7 +159,7 @@
 			to = d
 		}
 	}
-	blocked := to == nil || c.daemons[from.Self.ID] != from || c.cut != nil && c.cut(from, to)
+	blocked := to == nil || !c.runs(from) || c.cut != nil && c.cut(from, to)
 	c.mu.Unlock()
 	if blocked {
 		return ErrUnreachable
@@ -178,7 +178,7 @@
 		return err
 	}
 	c.mu.Lock()
-	blocked = c.cut != nil && c.cut(from, to)
+	blocked = c.cut != nil && c.cut(from, to) || !c.runs(from) || !c.runs(to)
 	c.mu.Unlock()
 	if blocked {
 		return ErrUnreachable // The answer is lost after the call took effect.
@@ -186,6 +186,9 @@
 	return nil
 }
 
+// runs reports whether the daemon has not ended. c.mu is held.
+func (c *Cluster) runs(d *Daemon) bool { return c.daemons[d.Self.ID] == d }
+
 func sleep(ctx context.Context, d time.Duration) error {
 	select {
 	case <-ctx.Done():
--- a/internal/clustertest/daemon.go
+++ b/internal/clustertest/daemon.go
@@ -228,6 +228,9 @@
 		if f := c.d.cluster.BeforeClaim; f != nil {
 			f(c.d, to)
 		}
+		if c.d.cluster.Daemon(to.Self.ID) != to {
+			return ErrUnreachable
+		}
 		response, err = to.Ownership.HandleClaim(r)
 		countCall(c.d, to, r, response)
 		return err
--- a/internal/clustertest/fault_test.go
+++ b/internal/clustertest/fault_test.go
@@ -176,9 +176,13 @@
 		t.Run(victim, func(t *testing.T) {
 			inCluster(t, 6, func(g *WithT, c *clustertest.Cluster, _ []*clustertest.Daemon) {
 				waitSettled(t, c, time.Second)
+				for i, r := range c.Resources {
+					c.Active(r)[0].Keeper.AddFlow(r, uint32(i))
+				}
 				killed := false
+				var joined *clustertest.Daemon
 				c.BeforeClaim = func(from, to *clustertest.Daemon) {
-					if killed {
+					if killed || from != joined {
 						return
 					}
 					killed = true
@@ -188,12 +192,18 @@
 						to.Kill()
 					}
 				}
-				c.Start("z0", 60)
+				joined = c.Start("z0", 60)
 				time.Sleep(500 * time.Millisecond)
 				took := waitSettled(t, c, 6*time.Second)
 				t.Logf("one holder each %v after the kill of the %s", took+500*time.Millisecond, victim)
 				g.Expect(killed).To(BeTrue())
 				expectDistinctTokens(g, c)
+				for i, r := range c.Resources {
+					if victim == "claimer" {
+						g.Expect(c.Active(r)[0].Keeper.HasFlow(r, uint32(i))).To(BeTrue(),
+							"the former holder still has what it released to the dead claimer")
+					}
+				}
 			})
 		})
 	}
--- a/ownership/bench_test.go
+++ b/ownership/bench_test.go
@@ -121,7 +121,7 @@
 	return append([]membership.DaemonID(nil), b.claimers...)
 }
 
-// onBench runs f with an Ownership whose view holds only itself.
+// onBench runs f with an Ownership whose view holds only itself. It claims nothing until begin.
 func onBench(t *testing.T, f func(g *WithT, b *bench)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
@@ -129,7 +129,6 @@
 			claim: func(membership.DaemonID) *pb.ClaimResult { return &pb.ClaimResult{Outcome: notHeld} },
 			offer: func(membership.DaemonID, *pb.OfferRequest) (*pb.OfferResponse, error) { return nil, errLost },
 		}
-		b.settled.Store(true)
 		b.setView(alive, nil)
 		b.Ownership = ownership.New(ownership.Options{
 			Self: "self", Viewer: b, Clients: b, Counters: telemetry.NewCounters(),
@@ -153,6 +152,12 @@
 	g.Expect(successor).To(Equal(id))
 }
 
+// begin settles the view and lets the first claims end.
+func (b *bench) begin() {
+	b.settled.Store(true)
+	wait(100 * time.Millisecond)
+}
+
 // wait lets virtual time pass until nothing runs at its end.
 func wait(d time.Duration) {
 	time.Sleep(d)
--- a/ownership/handle.go
+++ b/ownership/handle.go
@@ -28,6 +28,7 @@
 		}
 		response.Results = append(response.Results, result)
 	}
+	o.wake()
 	return response, nil
 }
 
@@ -79,6 +80,7 @@
 		}
 		s.mu.Unlock()
 	}
+	o.wake()
 	return response
 }
 
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -243,7 +243,7 @@
 	ticker := time.NewTicker(settleCheck)
 	defer ticker.Stop()
 	for {
-		if o.Held()+o.offering() == 0 {
+		if o.Held() == 0 && !o.isCalling() {
 			return nil
 		}
 		if !o.hasHeir() {
@@ -267,17 +267,12 @@
 	return false
 }
 
-// offering returns the number of resources whose offer has no answer yet.
-func (o *Ownership) offering() int {
-	n := 0
-	for _, s := range *o.table.Load() {
-		s.mu.Lock()
-		if s.offer != nil {
-			n++
-		}
-		s.mu.Unlock()
-	}
-	return n
+// isCalling reports whether a claim or an offer is in progress, whose answer may bring back
+// records.
+func (o *Ownership) isCalling() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.calling) > 0
 }
 
 func (o *Ownership) logActivation(r Resource, p Provenance) {
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -18,7 +18,7 @@
 // reach another only as incomplete ones.
 func TestReleasedRecordsGoToOneClaimer(t *testing.T) {
 	onBench(t, func(g *WithT, b *bench) {
-		wait(100 * time.Millisecond)
+		b.begin()
 		g.Expect(b.log()).To(Equal([]string{"fresh"}))
 		b.setView(leaving, map[membership.DaemonID]pb.MemberState{"b": alive, "c": alive})
 		for range 2 { // The second time, the first answer was lost.
@@ -44,7 +44,7 @@
 // earlier incarnation of it.
 func TestClaimByUnknownDaemonIsRefused(t *testing.T) {
 	onBench(t, func(g *WithT, b *bench) {
-		wait(100 * time.Millisecond)
+		b.begin()
 		b.setView(alive, map[membership.DaemonID]pb.MemberState{"b": alive, "c": dropped})
 		wait(100 * time.Millisecond)
 		older := claimBy("b")
@@ -62,7 +62,7 @@
 func TestQuickRestartIsNotFresh(t *testing.T) {
 	onBench(t, func(g *WithT, b *bench) {
 		b.setView(leaving, map[membership.DaemonID]pb.MemberState{"b": alive})
-		wait(100 * time.Millisecond)
+		b.begin()
 		response, err := b.HandleClaim(claimBy("b"))
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(response.GetResults()[0].GetOutcome()).To(Equal(notHeld), "the first claim of its life")
@@ -78,7 +78,7 @@
 // Guards against the use of a guard token that this daemon received and passed on before.
 func TestTransferAfterOwnReleaseIsNotTrusted(t *testing.T) {
 	onBench(t, func(g *WithT, b *bench) {
-		wait(100 * time.Millisecond)
+		b.begin()
 		b.loseTo(g, "c")
 		_, err := b.HandleClaim(claimBy("c"))
 		g.Expect(err).NotTo(HaveOccurred())
@@ -102,7 +102,7 @@
 			return &pb.ClaimResult{Outcome: transferred, Records: &pb.ResourceRecords{}}
 		}
 		b.setView(alive, map[membership.DaemonID]pb.MemberState{"b": leaving})
-		wait(100 * time.Millisecond)
+		b.begin()
 		b.OnPause()
 		wait(800 * time.Millisecond)
 		g.Expect(b.log()).To(Equal([]string{"recovered"}))
@@ -112,7 +112,7 @@
 // Guards against a pause after which the daemon goes on serving.
 func TestPauseReleasesEverything(t *testing.T) {
 	onBench(t, func(g *WithT, b *bench) {
-		wait(100 * time.Millisecond)
+		b.begin()
 		b.settled.Store(false)
 		b.OnPause()
 		g.Expect(b.serves()).To(BeFalse())
@@ -133,7 +133,7 @@
 	}{"no answer": {errLost, "recovered"}, "refused": {nil, "transferred"}} {
 		t.Run(name, func(t *testing.T) {
 			onBench(t, func(g *WithT, b *bench) {
-				wait(100 * time.Millisecond)
+				b.begin()
 				b.offer = func(_ membership.DaemonID, r *pb.OfferRequest) (*pb.OfferResponse, error) {
 					if len(r.GetRecords()) == 0 {
 						return &pb.OfferResponse{}, nil
@@ -153,7 +153,7 @@
 // Guards against an offer that costs the guard token although nobody answers there.
 func TestOfferToSilentDaemonReleasesNothing(t *testing.T) {
 	onBench(t, func(g *WithT, b *bench) {
-		wait(100 * time.Millisecond)
+		b.begin()
 		b.loseTo(g, "b")
 		wait(20 * time.Second)
 		g.Expect(b.log()).To(Equal([]string{"fresh"}))
@@ -165,6 +165,7 @@
 	onBench(t, func(g *WithT, b *bench) {
 		b.claim = func(membership.DaemonID) *pb.ClaimResult { return nil }
 		b.setView(alive, map[membership.DaemonID]pb.MemberState{"b": leaving})
+		b.begin()
 		wait(500 * time.Millisecond)
 		to, active, _ := b.Route(resource)
 		g.Expect(to).To(Equal(membership.DaemonID("b")), "packets go to the previous holder")
@@ -180,6 +181,7 @@
 	onBench(t, func(g *WithT, b *bench) {
 		b.claim = func(membership.DaemonID) *pb.ClaimResult { return nil }
 		b.setView(alive, map[membership.DaemonID]pb.MemberState{"b": leaving})
+		b.begin()
 		wait(6 * time.Second)
 		g.Expect(b.log()).To(Equal([]string{"recovered"}))
 	})
@@ -195,7 +197,6 @@
 			}
 			return &pb.ClaimResult{Outcome: redirect, Redirect: string(holder.Load().(membership.DaemonID))}
 		}
-		b.settled.Store(false)
 		others := map[membership.DaemonID]pb.MemberState{}
 		for _, id := range []membership.DaemonID{"a", "b", "c", "d", "e", "f", "g", "h"} {
 			others[id] = leaving
@@ -206,8 +207,7 @@
 				holder.Store(id)
 			}
 		}
-		b.settled.Store(true)
-		wait(100 * time.Millisecond)
+		b.begin()
 		g.Expect(b.log()).To(Equal([]string{"transferred"}))
 		g.Expect(b.asked()).To(ContainElement(holder.Load()))
 	})
@@ -217,7 +217,7 @@
 // and again.
 func TestReclaimIsHeldBack(t *testing.T) {
 	onBench(t, func(g *WithT, b *bench) {
-		wait(100 * time.Millisecond)
+		b.begin()
 		others := map[membership.DaemonID]pb.MemberState{}
 		for _, id := range []membership.DaemonID{"b", "c", "d", "e"} {
 			b.setView(alive, map[membership.DaemonID]pb.MemberState{id: alive})
@@ -260,7 +260,7 @@
 // Guards against an allocation for each packet.
 func TestRouteDoesNotAllocate(t *testing.T) {
 	onBench(t, func(g *WithT, b *bench) {
-		wait(100 * time.Millisecond)
+		b.begin()
 		g.Expect(testing.AllocsPerRun(100, func() {
 			_, _, _ = b.Route(resource)
 			_, _ = b.Successor(resource)
@@ -269,22 +269,40 @@
 	})
 }
 
+// Guards against a leave that ends while the answer to a claim brings records.
+func TestLeaveWaitsForCalls(t *testing.T) {
+	onBench(t, func(g *WithT, b *bench) {
+		b.claim = func(membership.DaemonID) *pb.ClaimResult {
+			time.Sleep(500 * time.Millisecond)
+			return &pb.ClaimResult{Outcome: transferred, Records: &pb.ResourceRecords{}}
+		}
+		b.offer = acceptAll
+		b.setView(alive, map[membership.DaemonID]pb.MemberState{"b": leaving})
+		b.begin()
+		b.setView(leaving, map[membership.DaemonID]pb.MemberState{"b": alive})
+		g.Expect(b.Leave(context.Background())).To(Succeed())
+		g.Expect(b.log()).To(Equal([]string{"transferred", "released"}))
+	})
+}
+
+func acceptAll(_ membership.DaemonID, r *pb.OfferRequest) (*pb.OfferResponse, error) {
+	response := &pb.OfferResponse{}
+	for _, records := range r.GetRecords() {
+		response.Accepted = append(response.Accepted, records.GetResource())
+	}
+	return response, nil
+}
+
 // Guards against a leave that claims success while resources remain.
 func TestLeave(t *testing.T) {
 	onBench(t, func(g *WithT, b *bench) {
-		wait(100 * time.Millisecond)
+		b.begin()
 		g.Expect(b.Leave(context.Background())).To(MatchError(ownership.ErrNotClaimed), "no other daemon")
 		b.loseTo(g, "b")
 		began := time.Now()
 		g.Expect(b.Leave(context.Background())).To(MatchError(ownership.ErrNotClaimed))
 		g.Expect(time.Since(began)).To(Equal(ownership.LeaveTimeout))
-		b.offer = func(_ membership.DaemonID, r *pb.OfferRequest) (*pb.OfferResponse, error) {
-			response := &pb.OfferResponse{}
-			for _, records := range r.GetRecords() {
-				response.Accepted = append(response.Accepted, records.GetResource())
-			}
-			return response, nil
-		}
+		b.offer = acceptAll
 		g.Expect(b.Leave(context.Background())).To(Succeed())
 		g.Expect(b.serves()).To(BeFalse())
 	})
