--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -227,7 +227,7 @@
     [ -z "${DAEMON_UP[$name]:-}" ] || addresses+=(--address "$(bind_ip "$name"):7004")
   done
   [ ${#addresses[@]} -gt 0 ] || fail "no balancer is up"
-  bin/fulmarctl "${addresses[@]}" "$@"
+  bin/fulmarctl --timeout 8s "${addresses[@]}" "$@"
 }
 
 # watch_generations records about every second which generation each balancer has in force,
