--- a/cmd/loadgen/main.go
+++ b/cmd/loadgen/main.go
@@ -44,6 +44,7 @@
 	Report        string        `long:"report" env:"FULMAR_LOADGEN_REPORT" description:"file for the report in JSON; empty writes none"`
 	Summarize     string        `long:"summarize" description:"print the summary of a run directory instead; exit status 1 if an invariant was violated"`
 	ListBroken    bool          `long:"list-broken" description:"with --summarize, print each broken connection"`
+	ListPhases    bool          `long:"list-phases" description:"with --summarize, print what became of the requests after each event"`
 
 	config loadgen.Config
 }
@@ -117,7 +118,7 @@
 	process.Settings(&o, o.check)
 	log := process.NewLog(os.Stderr, "loadgen")
 	if o.Summarize != "" {
-		process.Exit(log, summarize(os.Stdout, o.Summarize, o.ListBroken))
+		process.Exit(log, summarize(os.Stdout, &o))
 	}
 	process.Exit(log, run(&o, log))
 }
@@ -140,8 +141,8 @@
 	return report.Table(os.Stdout)
 }
 
-func summarize(w io.Writer, dir string, listBroken bool) error {
-	r, err := summary.Read(dir)
+func summarize(w io.Writer, o *options) error {
+	r, err := summary.Read(o.Summarize)
 	if err != nil {
 		return err
 	}
@@ -149,7 +150,12 @@
 	if err := r.WriteTable(w, violations); err != nil {
 		return err
 	}
-	if listBroken {
+	if o.ListPhases {
+		if err := r.WritePhases(w); err != nil {
+			return err
+		}
+	}
+	if o.ListBroken {
 		if err := r.WriteBreaks(w); err != nil {
 			return err
 		}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -63,4 +63,4 @@
 wait_load
 collect
 say "load ended; what callers, upstreams and balancers report:"
-bin/loadgen --summarize "$RUN_DIR"
+bin/loadgen --summarize "$RUN_DIR" --list-phases
--- a/scripts/failure-run.sh
+++ b/scripts/failure-run.sh
@@ -147,4 +147,4 @@
 snapshot_flows flows-end.json
 wait_load
 collect
-bin/loadgen --summarize "$RUN_DIR" --list-broken
+bin/loadgen --summarize "$RUN_DIR" --list-phases --list-broken
--- a/standin/loadgen/recorder.go
+++ b/standin/loadgen/recorder.go
@@ -35,6 +35,7 @@
 // recorder gathers what happens on the flows of one service.
 type recorder struct {
 	service Service
+	started time.Time
 	mu      sync.Mutex
 	report  ServiceReport
 	open    map[*session]struct{}
@@ -44,7 +45,7 @@
 
 func newRecorder(s Service) *recorder {
 	return &recorder{
-		service: s, open: map[*session]struct{}{},
+		service: s, started: time.Now(), open: map[*session]struct{}{},
 		latency: hdrhistogram.New(1, maxLatencyUS, latencyDigits),
 		opening: hdrhistogram.New(1, maxLatencyUS, latencyDigits),
 		report: ServiceReport{
@@ -107,6 +108,7 @@
 	}
 	reason := telemetry.ReasonName(o.answer.Reason)
 	status := o.answer.Status
+	r.note(o)
 	if o.local {
 		r.report.Statuses["flow_ended"]++
 		return
@@ -128,6 +130,25 @@
 	}
 }
 
+// note adds the request to its second.
+func (r *recorder) note(o outcome) {
+	second := int(time.Since(r.started) / time.Second)
+	for len(r.report.Timeline) <= second {
+		r.report.Timeline = append(r.report.Timeline, Second{})
+	}
+	s := &r.report.Timeline[second]
+	s.Requests++
+	switch o.answer.Status {
+	case pb.Status_STATUS_OK:
+		s.OK++
+		s.SlowestMS = max(s.SlowestMS, o.latency.Milliseconds())
+	case pb.Status_STATUS_NOT_RUN:
+		s.NotRun++
+	case pb.Status_STATUS_OUTCOME_UNKNOWN:
+		s.Unknown++
+	}
+}
+
 func (r *recorder) progress() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/standin/loadgen/report.go
+++ b/standin/loadgen/report.go
@@ -38,8 +38,10 @@
 	Wrong           []string         `json:"wrong_answers"`
 	// FlowsByUpstream counts the long-lived flows at the end by upstream number.
 	FlowsByUpstream map[uint32]int64 `json:"flows_by_upstream"`
-	LatencyMS       Quantiles        `json:"latency_ms"`
-	OpeningMS       Quantiles        `json:"opening_ms"`
+	// Timeline has one entry for each second from the start of the run.
+	Timeline  []Second  `json:"timeline"`
+	LatencyMS Quantiles `json:"latency_ms"`
+	OpeningMS Quantiles `json:"opening_ms"`
 }
 
 // Break is one broken connection.
@@ -50,6 +52,16 @@
 	Upstream uint32 `json:"upstream"`
 }
 
+// Second counts the requests that ended within one second.
+type Second struct {
+	Requests int64 `json:"requests"`
+	OK       int64 `json:"ok"`
+	NotRun   int64 `json:"not_run"`
+	Unknown  int64 `json:"unknown"`
+	// SlowestMS is the longest time to an answer that was ok.
+	SlowestMS int64 `json:"slowest_ms"`
+}
+
 // Quantiles of a time in milliseconds.
 type Quantiles struct {
 	Median float64 `json:"p50"`
--- a/standin/summary/summary_test.go
+++ b/standin/summary/summary_test.go
@@ -103,6 +103,20 @@
 	g.Expect(rules(readRun(t, files))).To(ConsistOf("configurations that went back"))
 }
 
+// Guards against requests that are put down to the wrong event.
+func TestPhasesSplitAtEvents(t *testing.T) {
+	g := NewWithT(t)
+	run := readRun(t, map[string]string{
+		"loadgen.json": `{"started_ms":10000,"services":[{"timeline":[{"requests":3,"ok":3},{"requests":5,"ok":4,"unknown":1}],` +
+			`"broken":[{"at_ms":11200}]}]}`,
+		"events.tsv": "11000\tfault\tkill schuur-1\n",
+	})
+	var out strings.Builder
+	g.Expect(run.WritePhases(&out)).To(Succeed())
+	g.Expect(out.String()).To(MatchRegexp(`0.0s +3 +3 +0 +0 +0 +0 +start of the load`))
+	g.Expect(out.String()).To(MatchRegexp(`1.0s +5 +4 +0 +1 +0 +1 +kill schuur-1`))
+}
+
 // Guards against counters and generations of balancers that are lost in the table.
 func TestTableShowsBalancers(t *testing.T) {
 	g := NewWithT(t)
