Keep exceptions within the control budget and reset all dead flows

Cause: replicating each diverted flow at once costs over 2 KB/s at a few dozen diversions a second. A test with concurrent hand-overs and removals found flows on a removed upstream that stayed until their next packet when they were handed over after the removal. Change: all exceptions share 1 KB/s with a burst of 8 KB; above it a flow that is diverted for load stays on its bucket's upstream (aim connections) or is diverted and replicated later (aim balance, or an upstream that takes no new flows). The walk queues dead flows; the reset queue is bounded. A replica that comes after the activation also decides an OPEN. Figures: 3,000 opens in 3 s with bound 1.01 stay under 18.4 KB in 10 s; all exceptions are known to the successor a minute later. Conclusion: the budget holds at any rate of opens, at the price of the load bound for connections.

--- a/steering/decide.go
+++ b/steering/decide.go
@@ -56,6 +56,13 @@
 	v := p.view
 	now := s.now()
 	r, known := p.flows[h.Flow]
+	if !known {
+		// The replica of a former owner may have come after the activation.
+		if r, known = s.replicas.find(p.service.number, h.Flow, now.tick); known {
+			s.insert(p, v, h.Flow, r, now)
+			r = p.flows[h.Flow]
+		}
+	}
 	if known && h.Kind == pb.Kind_KIND_OPEN && v.replaceable(r, now) {
 		s.end(p, v, h.Flow)
 		known = false
@@ -117,7 +124,10 @@
 	return sendTo(r.upstream)
 }
 
-// open places a new flow. The caller holds p.mu.
+// open places a new flow. When more flows are diverted than the budget of control traffic can
+// replicate at once, a service that weighs connections more leaves them on their bucket's upstream
+// unless that takes no new flows; else they are diverted all the same and replicated later. The
+// caller holds p.mu.
 func (s *Steerer) open(p *partition, v *serviceView, h wire.Header, hash uint64, raw []byte, now instant) decision {
 	placed, ok := v.place(hash, now.unixMS)
 	if !ok {
@@ -131,6 +141,14 @@
 	}
 	s.diverted.Add(1)
 	p.insert(v, h.Flow, r, now.unixMS)
+	if p.successor != "" && !s.replicator.allowUrgent(time.Now()) {
+		s.Counters.Count("exception.over_budget")
+		if placed.byState || v.declared.GetAim() == pb.Aim_AIM_BALANCE {
+			s.queueBulk(p, h.Flow)
+			return sendTo(r.upstream)
+		}
+		return sendTo(s.settleUnreplicated(p, v, h.Flow, now))
+	}
 	w := s.startWait(p, h.Flow, waitAck, ackTimeout)
 	if w == nil {
 		return sendTo(s.settleUnreplicated(p, v, h.Flow, now))
--- a/steering/keeper.go
+++ b/steering/keeper.go
@@ -45,6 +45,7 @@
 	s.merge(p, v, s.replicas.take(r), now)
 	s.merge(p, v, recordsOf(records, now.tick), now)
 	p.mu.Unlock()
+	s.orphans.Store(true)
 	s.wake()
 }
 
--- a/steering/pacer.go
+++ b/steering/pacer.go
@@ -12,6 +12,9 @@
 	// 1,000 resets and 2,000 tokens a second.
 	resetsPerTick = 250
 	tokensPerTick = 500
+	// maxResets bounds the queue. The walk over the partitions, each 2 s, finds the dead flows
+	// that did not fit.
+	maxResets = 4096
 )
 
 // pacer holds the flows whose callers must be told something, in order.
@@ -24,7 +27,9 @@
 func (q *pacer) addReset(p *partition, flow wire.FlowKey) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.resets = append(q.resets, item{p, flow})
+	if len(q.resets) < maxResets {
+		q.resets = append(q.resets, item{p, flow})
+	}
 }
 
 func (q *pacer) addToken(p *partition, flow wire.FlowKey) {
--- a/steering/place.go
+++ b/steering/place.go
@@ -21,6 +21,8 @@
 	upstream *upstream
 	// diverted is set when it is not the bucket's upstream.
 	diverted bool
+	// byState is set when the bucket's upstream takes no new flows, whatever its load.
+	byState bool
 }
 
 // place chooses the upstream of a new flow; ok is false when the service has none.
@@ -31,16 +33,18 @@
 	}
 	first := v.upstreams[number]
 	load := v.load()
-	if first.takesNew(hash, nowMS) && !load.full(first) {
+	usable := first.takesNew(hash, nowMS)
+	if usable && !load.full(first) {
 		return placement{upstream: first}, true
 	}
-	if u := v.twoChoices(hash, nowMS, load); u != nil {
-		return placement{upstream: u, diverted: u != first}, true
+	u := v.twoChoices(hash, nowMS, load)
+	if u == nil {
+		u = v.leastFilled(hash, nowMS)
 	}
-	if u := v.leastFilled(hash, nowMS); u != nil {
-		return placement{upstream: u, diverted: u != first}, true
+	if u == nil {
+		u = first
 	}
-	return placement{upstream: first}, true
+	return placement{upstream: u, diverted: u != first, byState: !usable}, true
 }
 
 // twoChoices returns the less filled of the first two usable upstreams by further hashes, or
--- a/steering/replicator.go
+++ b/steering/replicator.go
@@ -16,6 +16,12 @@
 	batchDelay = 10 * time.Millisecond
 	// bulkBytesPerSecond bounds what is sent at table changes and refreshes.
 	bulkBytesPerSecond = 1024
+	// exceptionBytesPerSecond bounds all exceptions: a daemon's control traffic must stay under
+	// 2 KB/s. exceptionBurst lets a daemon that was quiet replicate many diverted flows at once.
+	exceptionBytesPerSecond = 1024
+	exceptionBurst          = 8192
+	// urgentBytes is the size of a datagram with one exception.
+	urgentBytes = 112
 	// batchBytes is the size of a full batch; recordBytes and keyBytes are upper estimates of
 	// the size of a record and of an ended flow in it.
 	batchBytes  = 1200
@@ -67,6 +73,7 @@
 	inFlight map[uint64]*batch
 	last     uint64
 	bulk     *rate.Limiter
+	total    *rate.Limiter
 }
 
 func newReplicator(now time.Time) *replicator {
@@ -74,8 +81,9 @@
 		outboxes: map[membership.DaemonID]*outbox{},
 		inFlight: map[uint64]*batch{},
 		// Batch numbers rise across restarts.
-		last: uint64(now.UnixMicro()),
-		bulk: rate.NewLimiter(bulkBytesPerSecond, batchBytes),
+		last:  uint64(now.UnixMicro()),
+		bulk:  rate.NewLimiter(bulkBytesPerSecond, batchBytes),
+		total: rate.NewLimiter(exceptionBytesPerSecond, exceptionBurst),
 	}
 }
 
@@ -87,6 +95,14 @@
 	return r.outboxes[to]
 }
 
+// allowUrgent reports whether the budget allows one more diverted flow to be replicated at once.
+func (r *replicator) allowUrgent(now time.Time) bool { return r.total.AllowN(now, urgentBytes) }
+
+// allowBulk reports whether a bulk batch of the given size may be sent.
+func (r *replicator) allowBulk(now time.Time, bytes int) bool {
+	return r.total.TokensAt(now) >= float64(bytes) && r.bulk.AllowN(now, bytes) && r.total.AllowN(now, bytes)
+}
+
 func (r *replicator) addUrgent(to membership.DaemonID, i item) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -133,7 +149,7 @@
 		}
 		for (len(o.bulk) > 0 || len(o.ended) > 0) && o.inFlight < maxBulkInFlight {
 			d, bytes := o.bulkDraft(to)
-			if !r.bulk.AllowN(now, bytes) {
+			if !r.allowBulk(now, bytes) {
 				break
 			}
 			o.bulk = o.bulk[:len(o.bulk)-len(d.items)]
@@ -171,7 +187,7 @@
 			continue
 		}
 		bytes := len(b.items)*recordBytes + len(b.ended)*keyBytes
-		if b.urgent && b.tries < 3 || r.bulk.AllowN(now, bytes) {
+		if b.urgent && b.tries < 3 || r.allowBulk(now, bytes) {
 			found = append(found, b)
 		}
 	}
--- a/steering/run.go
+++ b/steering/run.go
@@ -69,10 +69,10 @@
 	return next
 }
 
-// refreshSuccessor looks up the successor of a partition that has exceptions.
+// refreshSuccessor looks up the successor of a partition that has exceptions or knows none yet.
 func (s *Steerer) refreshSuccessor(p *partition) {
 	p.mu.Lock()
-	needed := len(p.exceptions) > 0
+	needed := len(p.exceptions) > 0 || p.successor == ""
 	p.mu.Unlock()
 	if !needed {
 		return
@@ -143,7 +143,7 @@
 		case idle > v.idleLimit || r.has(flagClosed) && idle > closedLinger:
 			s.end(p, v, flow)
 		case r.has(flagClosed):
-		case v.deathOf(r, now.unixMS) == pb.Reason_REASON_UPSTREAM_DRAINING:
+		case v.deathOf(r, now.unixMS) != pb.Reason_REASON_UNSPECIFIED:
 			s.paced.addReset(p, flow)
 		case r.has(flagException):
 			s.refresh(p, v, flow, r, now)
--- a/steering/state_test.go
+++ b/steering/state_test.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/membership"
 	"github.com/fulmarfield/fulmarfield/ownership"
 	"github.com/fulmarfield/fulmarfield/wire"
 )
@@ -103,6 +104,41 @@
 	})
 }
 
+// Guards against control traffic that grows with the rate of diverted flows.
+func TestExceptionBudget(t *testing.T) {
+	for aim, want := range map[pb.Aim]func(perUpstream uint32) bool{
+		pb.Aim_AIM_BALANCE:     func(n uint32) bool { return n <= 607 },
+		pb.Aim_AIM_CONNECTIONS: func(n uint32) bool { return n > 607 },
+	} {
+		inCluster(t, 5, func(g *WithT, c *cluster, a, b *node) {
+			c.declare(func(s *pb.Service) { s.Aim, s.Limits.LoadBoundPercent = aim, 101 })
+			bytes := 0
+			c.lose = func(_, _ membership.DaemonID, m *pb.PeerDatagram) bool {
+				if isBatch(m) {
+					bytes += proto.Size(m) + 50 // The envelope.
+				}
+				return false
+			}
+			for i := range 3000 {
+				a.packet(i, kindOpen, 0)
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(7 * time.Second)
+			c.mu.Lock()
+			g.Expect(bytes).To(BeNumerically("<", exceptionBurst+10*exceptionBytesPerSecond))
+			c.mu.Unlock()
+			g.Expect(a.Counters.Get("exception.over_budget")).NotTo(BeZero())
+			largest := uint32(0)
+			for _, n := range a.Stats().ByUpstream {
+				largest = max(largest, n)
+			}
+			g.Expect(want(largest)).To(BeTrue(), "%s: %d", aim, largest)
+			time.Sleep(time.Minute)
+			g.Expect(b.Stats().Replicas).To(Equal(a.Stats().Exceptions), "in the end all are known")
+		})
+	}
+}
+
 // Guards against exceptions that a new successor never hears of, and replicas of ended flows
 // that come back at a takeover.
 func TestSuccessorChange(t *testing.T) {
--- a/steering/steerer.go
+++ b/steering/steerer.go
@@ -54,7 +54,7 @@
 	notices    noticeStore
 	opened     atomic.Uint64
 	diverted   atomic.Uint64
-	// orphans is set when an exception was queued in a partition without a known successor.
+	// orphans is set when a partition may have no known successor yet.
 	orphans atomic.Bool
 	// cursor is the part of the partitions that Run has visited last.
 	cursor int
--- a/steering/unknown.go
+++ b/steering/unknown.go
@@ -10,14 +10,9 @@
 	"github.com/fulmarfield/fulmarfield/wire"
 )
 
-// resolve finds the upstream of a mid-stream flow without a record: by the replica of a former
-// owner, by a bucket that cannot have had another upstream, or else by asking other daemons.
-// The caller holds p.mu.
+// resolve finds the upstream of a mid-stream flow without a record or replica: by a bucket that
+// cannot have had another upstream, or else by asking other daemons. The caller holds p.mu.
 func (s *Steerer) resolve(p *partition, v *serviceView, h wire.Header, hash uint64, raw []byte, now instant) decision {
-	if r, ok := s.replicas.find(p.service.number, h.Flow, now.tick); ok {
-		s.insert(p, v, h.Flow, r, now)
-		return s.steerKnown(p, v, h, p.flows[h.Flow], now)
-	}
 	if number, ok := p.derived(v, hash, now); ok {
 		s.insert(p, v, h.Flow, record{upstream: number, last: now.tick}, now)
 		return s.steerKnown(p, v, h, p.flows[h.Flow], now)
--- a/steering/wait.go
+++ b/steering/wait.go
@@ -152,6 +152,7 @@
 	number, ok := v.table.upstream(bucketOf(flow.Hash()))
 	if !ok || !v.upstreams[number].reachable() {
 		s.Counters.Count("exception.unreplicated")
+		s.queueBulk(p, flow)
 		return r.upstream
 	}
 	s.end(p, v, flow)
