Measure flows lost with their owner and spend the budget where it saves most

Cause: a trial that kills one of six owners lost 0.22 % of all flows at 1,000 opens a second and bound 1.05, and up to 5 flows on their bucket's upstream shortly after a drain. Change: bulk batches fill up to one second, carry exceptions before ends, and keep half of the burst; new flows in buckets that changed lately are sent at once from a share of 512 bytes a second. Conclusion: the 0.1 % target holds in steady state and from some 15 s after a drain; in between the rate of 1 KB/s leaves up to 1 % of the flows unreplicated.

--- a/steering/decide.go
+++ b/steering/decide.go
@@ -136,7 +136,9 @@
 	s.opened.Add(1)
 	r := record{upstream: placed.upstream.number, last: now.tick}
 	if !placed.diverted {
-		s.insert(p, v, h.Flow, r, now)
+		if p.insert(v, h.Flow, r, now.unixMS) {
+			s.queueSoon(p, h.Flow)
+		}
 		return sendTo(r.upstream)
 	}
 	s.diverted.Add(1)
--- /dev/null
+++ b/steering/kill_test.go
@@ -0,0 +1,84 @@
+package steering
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/ownership"
+	"github.com/fulmarfield/fulmarfield/wire"
+)
+
+// Guards against a loss of flows with one of six owners above 0.1 % of all, and against any
+// loss of flows on their bucket's upstream. The owner holds a sixth of 30,000 flows, which are
+// replaced for a minute at the given rate, and dies some time after a drain, if any.
+func TestFlowsLostWithOwner(t *testing.T) {
+	const flows = trialFlows / trialOwners
+	for _, trial := range []struct {
+		name       string
+		opensEvery time.Duration
+		bound      uint32
+		// afterDrain is negative when there is none.
+		afterDrain time.Duration
+		most       int
+	}{
+		{"50 opens a second, bound 1.05", 20 * time.Millisecond, 105, -1, 0},
+		{"200 opens a second, bound 1.05", 5 * time.Millisecond, 105, -1, trialFlows / 1000},
+		{"1,000 opens a second, bound 1.05", time.Millisecond, 105, -1, trialFlows / 1000},
+		{"50 opens a second, bound 1.05, 1 s after a drain", 20 * time.Millisecond, 105, time.Second, flows},
+		{"50 opens a second, bound 1.05, 10 s after a drain", 20 * time.Millisecond, 105, 10 * time.Second, flows},
+		{"50 opens a second, bound 1.05, 60 s after a drain", 20 * time.Millisecond, 105, time.Minute, 0},
+	} {
+		t.Run(trial.name, func(t *testing.T) {
+			inCluster(t, trialUpstreams, func(g *WithT, c *cluster, a, b *node) {
+				c.declare(func(s *pb.Service) { s.Aim, s.Limits.LoadBoundPercent = pb.Aim_AIM_BALANCE, trial.bound })
+				next := 0
+				replace := func(d time.Duration) {
+					for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(trial.opensEvery) {
+						a.give(next-flows, pb.Kind_KIND_CLOSE)
+						a.give(next, kindOpen)
+						next++
+					}
+				}
+				for next < flows {
+					a.give(next, kindOpen)
+					next++
+				}
+				time.Sleep(time.Minute)
+				replace(time.Minute)
+				if trial.afterDrain >= 0 {
+					c.declare(drain(4))
+					replace(trial.afterDrain)
+				}
+				diverted := a.Stats().Exceptions
+				b.activate(nil, ownership.Recovered)
+				lost, onBucket := 0, 0
+				for i := next - flows; i < next; i++ {
+					e := a.Explain(flowNumber(i))
+					if e.Cause == CauseWaiting {
+						continue // Not passed on yet: the caller retransmits its OPEN.
+					}
+					if up, _ := b.packet(i, kindData, 0); up != e.Upstream {
+						lost++
+						if e.Upstream == e.BucketUpstream {
+							onBucket++
+						}
+					}
+				}
+				t.Logf("%d exceptions of %d flows: lost %d, %.3f %% of all %d flows; on their bucket's upstream %d",
+					diverted, flows, lost, 100*float64(lost)/trialFlows, trialFlows, onBucket)
+				g.Expect(lost).To(BeNumerically("<=", trial.most))
+				g.Expect(onBucket).To(BeZero())
+			})
+		})
+	}
+}
+
+// give hands the node a packet and does not wait for anything.
+func (n *node) give(i int, kind pb.Kind) {
+	k := flowNumber(i)
+	raw, _ := wire.EncodePacket(&pb.Packet{Flow: k.Proto(), Kind: kind})
+	n.HandleCaller(wire.Header{Flow: k, Kind: kind}, raw)
+}
--- a/steering/replicate.go
+++ b/steering/replicate.go
@@ -71,6 +71,18 @@
 	s.wake()
 }
 
+// queueSoon queues a new flow in a bucket that changed lately. It is on the bucket's upstream and
+// does not wait, but must be known before the owner may die. The caller holds p.mu.
+func (s *Steerer) queueSoon(p *partition, flow wire.FlowKey) {
+	if p.successor == "" || !s.replicator.allowSoon(time.Now()) {
+		s.queueBulk(p, flow)
+		return
+	}
+	p.exceptions[flow] = exception{queued: true}
+	s.replicator.addUrgent(p.successor, item{p, flow})
+	s.wake()
+}
+
 // tellEnded queues the end of an exception that the successor knows. The caller holds p.mu.
 func (s *Steerer) tellEnded(p *partition, flow wire.FlowKey, tell bool) {
 	if tell && p.successor != "" {
--- a/steering/replicator.go
+++ b/steering/replicator.go
@@ -20,8 +20,21 @@
 	// 2 KB/s. exceptionBurst lets a daemon that was quiet replicate many diverted flows at once.
 	exceptionBytesPerSecond = 1024
 	exceptionBurst          = 8192
-	// urgentBytes is the size of a datagram with one exception.
-	urgentBytes = 112
+	// bulkReserve is the part of the burst that single datagrams leave to bulk batches, which
+	// carry three times as many exceptions for the same traffic.
+	bulkReserve = exceptionBurst / 2
+	// soonBytesPerSecond is the share of new flows in buckets that changed lately, which bulk
+	// batches leave free: at 50 opens a second 7 % of them need 400 bytes a second after a drain.
+	soonBytesPerSecond = 512
+	soonReserve        = 1024
+	// envelopeBytes is the size of a datagram without records, and urgentBytes that of one with
+	// a single exception.
+	envelopeBytes = 70
+	urgentBytes   = envelopeBytes + recordBytes
+	// bulkDelay is how long a bulk batch waits to fill.
+	bulkDelay = time.Second
+	// maxEndedQueue bounds the ended flows that wait. Those left out expire at the successor.
+	maxEndedQueue = 4096
 	// batchBytes is the size of a full batch; recordBytes and keyBytes are upper estimates of
 	// the size of a record and of an ended flow in it.
 	batchBytes  = 1200
@@ -63,6 +76,7 @@
 	urgentSince time.Time
 	bulk        []item
 	ended       []item
+	lastBulk    time.Time
 	inFlight    int
 }
 
@@ -73,6 +87,7 @@
 	inFlight map[uint64]*batch
 	last     uint64
 	bulk     *rate.Limiter
+	soon     *rate.Limiter
 	total    *rate.Limiter
 }
 
@@ -83,6 +98,7 @@
 		// Batch numbers rise across restarts.
 		last:  uint64(now.UnixMicro()),
 		bulk:  rate.NewLimiter(bulkBytesPerSecond, batchBytes),
+		soon:  rate.NewLimiter(soonBytesPerSecond, soonReserve),
 		total: rate.NewLimiter(exceptionBytesPerSecond, exceptionBurst),
 	}
 }
@@ -96,11 +112,18 @@
 }
 
 // allowUrgent reports whether the budget allows one more diverted flow to be replicated at once.
-func (r *replicator) allowUrgent(now time.Time) bool { return r.total.AllowN(now, urgentBytes) }
+func (r *replicator) allowUrgent(now time.Time) bool {
+	return r.total.TokensAt(now) >= bulkReserve+urgentBytes && r.total.AllowN(now, urgentBytes)
+}
+
+// allowSoon reports the same for a new flow in a bucket that changed lately.
+func (r *replicator) allowSoon(now time.Time) bool {
+	return r.total.TokensAt(now) >= urgentBytes && r.soon.AllowN(now, urgentBytes) && r.total.AllowN(now, urgentBytes)
+}
 
 // allowBulk reports whether a bulk batch of the given size may be sent.
 func (r *replicator) allowBulk(now time.Time, bytes int) bool {
-	return r.total.TokensAt(now) >= float64(bytes) && r.bulk.AllowN(now, bytes) && r.total.AllowN(now, bytes)
+	return r.total.TokensAt(now) >= float64(bytes+soonReserve) && r.bulk.AllowN(now, bytes) && r.total.AllowN(now, bytes)
 }
 
 func (r *replicator) addUrgent(to membership.DaemonID, i item) {
@@ -123,8 +146,9 @@
 func (r *replicator) addEnded(to membership.DaemonID, i item) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	o := r.outbox(to)
-	o.ended = append(o.ended, i)
+	if o := r.outbox(to); len(o.ended) < maxEndedQueue {
+		o.ended = append(o.ended, i)
+	}
 }
 
 // draft is the content of a batch before the records are looked up.
@@ -141,7 +165,7 @@
 	defer r.mu.Unlock()
 	var drafts []draft
 	for to, o := range r.outboxes {
-		full := batchBytes / recordBytes
+		full := (batchBytes - envelopeBytes) / recordBytes
 		for len(o.urgent) >= full || len(o.urgent) > 0 && now.Sub(o.urgentSince) >= batchDelay {
 			n := min(len(o.urgent), full)
 			drafts = append(drafts, draft{to: to, items: o.urgent[:n:n], urgent: true})
@@ -149,9 +173,10 @@
 		}
 		for (len(o.bulk) > 0 || len(o.ended) > 0) && o.inFlight < maxBulkInFlight {
 			d, bytes := o.bulkDraft(to)
-			if !r.allowBulk(now, bytes) {
+			if bytes < batchBytes/2 && now.Sub(o.lastBulk) < bulkDelay || !r.allowBulk(now, bytes) {
 				break
 			}
+			o.lastBulk = now
 			o.bulk = o.bulk[:len(o.bulk)-len(d.items)]
 			o.ended = o.ended[len(d.ended):]
 			o.inFlight++
@@ -164,16 +189,17 @@
 	return drafts
 }
 
-// bulkDraft returns the next bulk batch, the newest exceptions first, and its estimated size.
-// Ends of flows take at most a third.
+// bulkDraft returns the next bulk batch and its estimated size: the newest exceptions, and the
+// ends of flows where there is room.
 func (o *outbox) bulkDraft(to membership.DaemonID) (draft, int) {
-	ended := min(len(o.ended), batchBytes/3/keyBytes)
-	items := min(len(o.bulk), (batchBytes-ended*keyBytes)/recordBytes)
+	const room = batchBytes - envelopeBytes
+	items := min(len(o.bulk), room/recordBytes)
+	ended := min(len(o.ended), (room-items*recordBytes)/keyBytes)
 	d := draft{to: to, ended: o.ended[:ended:ended]}
 	for i := range items {
 		d.items = append(d.items, o.bulk[len(o.bulk)-1-i])
 	}
-	return d, ended*keyBytes + items*recordBytes
+	return d, envelopeBytes + ended*keyBytes + items*recordBytes
 }
 
 // dueRetries takes the batches whose retransmission is due. A bulk batch also needs its share
@@ -186,7 +212,7 @@
 		if id != b.ids[len(b.ids)-1] || now.Before(b.next) {
 			continue
 		}
-		bytes := len(b.items)*recordBytes + len(b.ended)*keyBytes
+		bytes := envelopeBytes + len(b.items)*recordBytes + len(b.ended)*keyBytes
 		if b.urgent && b.tries < 3 || r.allowBulk(now, bytes) {
 			found = append(found, b)
 		}
