Test OPEN packets during takeovers, drains and queries

Cause: three rules for an OPEN had no test: a replica that comes after the takeover, a draining upstream that has not answered yet, and a port whose former flow is being looked up. Change: one test for the three; the balance trial runs with 5 seeds. Each of the three rules removed makes the test fail.

--- a/steering/balance_test.go
+++ b/steering/balance_test.go
@@ -20,6 +20,8 @@
 	trialOwners    = 6
 	// trialReplaced is how often the whole population is replaced.
 	trialReplaced = 3
+	// trialSeeds is the number of runs with other callers and lives.
+	trialSeeds = 5
 	// trialTail is the exponent of the Pareto distribution of a flow's life: finite mean,
 	// infinite variance.
 	trialTail = 1.5
@@ -27,11 +29,13 @@
 
 // trial keeps a population of flows, each of which is replaced when its life ends.
 type trial struct {
-	owners   []*serviceView
-	place    func(owner *serviceView, hash uint64, r *rand.Rand) placement
-	counts   map[uint32]int
-	lives    lifeHeap
-	r        *rand.Rand
+	owners []*serviceView
+	place  func(owner *serviceView, hash uint64, r *rand.Rand) placement
+	counts map[uint32]int
+	lives  lifeHeap
+	r      *rand.Rand
+	// first is the number of the first flow.
+	first    int
 	placed   int
 	diverted int
 	// exceptions counts the live flows that are not on their bucket's upstream.
@@ -65,8 +69,8 @@
 	return s
 }
 
-func newTrial(bound uint32) *trial {
-	t := &trial{r: rand.New(rand.NewPCG(1, 2)), counts: map[uint32]int{}}
+func newTrial(bound uint32, seed int) *trial {
+	t := &trial{r: rand.New(rand.NewPCG(uint64(seed), 2)), counts: map[uint32]int{}, first: seed << 20}
 	for range trialOwners {
 		t.owners = append(t.owners, newServiceView(nil, trialService(bound, trialUpstreams), nil))
 	}
@@ -78,7 +82,7 @@
 }
 
 func (t *trial) open(now float64) {
-	hash := flowNumber(t.placed).Hash()
+	hash := flowNumber(t.first + t.placed).Hash()
 	owner := int(hash>>56) % trialOwners
 	p := t.place(t.owners[owner], hash, t.r)
 	p.upstream.flows.Add(1)
@@ -161,7 +165,6 @@
 // Guards against placement that misses the balance aims: at most 1.05 in steady state and 1.10
 // after a drain.
 func TestBalanceTrial(t *testing.T) {
-	g := NewWithT(t)
 	variants := []struct {
 		name  string
 		bound uint32
@@ -179,20 +182,28 @@
 		}},
 	}
 	for _, variant := range variants {
-		tr := newTrial(variant.bound)
-		if variant.place != nil {
-			tr.place = variant.place
-		}
-		mean, worst := tr.run()
-		exceptions := float64(tr.exceptions) / trialFlows
-		diverted := float64(tr.diverted) / float64(tr.placed)
-		drained := tr.drainFirst()
-		t.Logf("%-11s largest over mean: mean %.3f worst %.3f after a drain %.3f; exceptions %.1f %% of flows, diverted %.1f %% of opens",
-			variant.name, mean, worst, drained, 100*exceptions, 100*diverted)
-		if variant.bound == boundBalancePercent && variant.place == nil {
-			g.Expect(worst).To(BeNumerically("<=", 1.05))
-			g.Expect(drained).To(BeNumerically("<=", 1.10))
-		}
+		t.Run(variant.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			var mean, worst, exceptions, diverted, drained float64
+			for seed := range trialSeeds {
+				tr := newTrial(variant.bound, seed)
+				if variant.place != nil {
+					tr.place = variant.place
+				}
+				m, w := tr.run()
+				mean, worst = mean+m/trialSeeds, max(worst, w)
+				exceptions += float64(tr.exceptions) / trialFlows / trialSeeds
+				diverted += float64(tr.diverted) / float64(tr.placed) / trialSeeds
+				drained = max(drained, tr.drainFirst())
+			}
+			t.Logf("%-11s largest over mean: mean %.3f worst %.3f worst after a drain %.3f; exceptions %.2f %% of flows, diverted %.2f %% of opens",
+				variant.name, mean, worst, drained, 100*exceptions, 100*diverted)
+			if variant.bound == boundBalancePercent && variant.place == nil {
+				g.Expect(worst).To(BeNumerically("<=", 1.05))
+				g.Expect(drained).To(BeNumerically("<=", 1.10))
+			}
+		})
 	}
 }
 
--- a/steering/change.go
+++ b/steering/change.go
@@ -33,22 +33,25 @@
 		}
 	}
 	owner.view.Store(v)
+	exceptions := 0
 	for i := range owner.partitions {
 		if p := owner.partitions[i].Load(); p != nil {
-			s.tableChanged(p, v)
+			exceptions += s.tableChanged(p, v)
 		}
 	}
+	s.Logger.Info().Str("event", "table_changed").Uint32("service", owner.number).
+		Uint64("generation", v.generation).Int("upstreams", len(v.active)).Int("new_exceptions", exceptions).Send()
 }
 
 // tableChanged makes exceptions of the flows whose upstream the new table does not tell, and
-// queues the flows of removed upstreams for a reset.
-func (s *Steerer) tableChanged(p *partition, v *serviceView) {
+// queues the flows of removed upstreams for a reset. It returns the number of new exceptions.
+func (s *Steerer) tableChanged(p *partition, v *serviceView) int {
 	now := s.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	old := p.view
 	if p.released || old == v {
-		return
+		return 0
 	}
 	p.view = v
 	var found []wire.FlowKey
@@ -71,6 +74,7 @@
 		}
 	}
 	s.queueNewestFirst(p, found)
+	return len(found)
 }
 
 // queueNewestFirst queues exceptions so that those with the latest packet are sent first. The
--- a/steering/fault_test.go
+++ b/steering/fault_test.go
@@ -244,3 +244,36 @@
 		g.Expect(a.Stats().Flows).To(BeZero())
 	})
 }
+
+// Guards against an OPEN that ignores what others know of its flow, that is lost with a query for
+// the port's former flow, or that gives a draining upstream new work.
+func TestOpenUnderChange(t *testing.T) {
+	inCluster(t, 5, func(g *WithT, c *cluster, a, b *node) {
+		// The last exception of a dying owner comes after the takeover.
+		b.activate(nil, ownership.Recovered)
+		late := b.flowsOn(1, 1)[0]
+		b.HandlePeer("a", &pb.PeerDatagram{Body: &pb.PeerDatagram_ExceptionBatch{ExceptionBatch: &pb.ExceptionBatch{
+			Batch: 1, Records: []*pb.FlowRecord{{Flow: flowNumber(late).Proto(), Service: testService, Upstream: 5}}}}})
+		up, _ := b.packet(late, kindOpen, 0)
+		g.Expect(up).To(BeEquivalentTo(5))
+
+		i := a.flowsOn(4, 1)[0]
+		up, _ = a.packet(i, kindOpen, 0)
+		g.Expect(up).To(BeEquivalentTo(4))
+		c.declare(drain(4))
+		up, _ = a.packet(i, kindOpen, 0)
+		g.Expect(up).To(BeEquivalentTo(4), "its first OPEN may have been answered")
+		time.Sleep(drainGrace + time.Millisecond)
+		up, _ = a.packet(i, kindOpen, settled)
+		g.Expect(up).NotTo(BeElementOf(uint32(0), uint32(4)))
+
+		reused := a.flowsOn(2, 1)[0]
+		c.declare(drain(2))
+		a.release()
+		a.activate(nil, ownership.Recovered)
+		a.packet(reused, kindData, 0)
+		up, reason := a.packet(reused, kindOpen, settled)
+		g.Expect(up).NotTo(BeElementOf(uint32(0), uint32(2)))
+		g.Expect(reason).To(Equal(pb.Reason_REASON_UNSPECIFIED))
+	})
+}
