Keep refusals honest for idempotent requests that changed holder

Cause: a property test over random loss, copies, delays, transfers, kills and pauses found two false 'not run' for idempotent requests. A holder refused a retransmission that a lost holder had already run; and the refusal of a paused holder reached the caller after the request ran at the new one. Change: a request of attempt 2 or later without a record, or whose answer is no longer held, is refused as outcome unknown; callers trust 'not run' only when all transmissions carried one guard token.

--- a/caller/request.go
+++ b/caller/request.go
@@ -47,7 +47,10 @@
 	idempotent bool
 	// renewed wakes an idempotent request when the guard token has changed.
 	renewed chan struct{}
-	gather  gather
+	// restamped is true when transmissions carried different guard tokens. A refusal by one
+	// holder then says nothing of the other, for example when a paused one wakes.
+	restamped bool
+	gather    gather
 }
 
 // Request sends a request and retransmits it until it is answered or its deadline passes. It
@@ -72,7 +75,7 @@
 			p.Attempt++
 			p.DeadlineMs = uint32(max(left.Milliseconds(), 1))
 			if r.Idempotent {
-				p.GuardToken = f.currentToken()
+				f.stamp(p, waiting)
 			}
 			if err := f.send(p); err != nil {
 				return Answer{Status: pb.Status_STATUS_NOT_RUN}, err
@@ -127,10 +130,14 @@
 	return p, w
 }
 
-func (f *Flow) currentToken() uint64 {
+// stamp gives an idempotent request the current guard token.
+func (f *Flow) stamp(p *pb.Packet, w *pending) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.token
+	if p.GetAttempt() > 1 && p.GetGuardToken() != f.token {
+		w.restamped = true
+	}
+	p.GuardToken = f.token
 }
 
 // renew lets idempotent requests go again at once with a changed token; the holder that sent it
@@ -173,6 +180,9 @@
 		return
 	}
 	delete(f.pending, p.GetRequestId())
+	if w.restamped && p.GetStatus() == pb.Status_STATUS_NOT_RUN {
+		p.Status = pb.Status_STATUS_OUTCOME_UNKNOWN
+	}
 	w.answer <- Answer{Status: p.GetStatus(), Reason: p.GetReason(), Payload: payload, Upstream: p.GetUpstream()}
 }
 
--- a/request/admission.go
+++ b/request/admission.go
@@ -141,6 +141,9 @@
 // finish records the final status of a request and tells the caller. The slot, if the request
 // occupies one, is freed separately.
 func (a *admission) finish(r *record, status pb.Status, reason pb.Reason) {
+	if status == pb.Status_STATUS_NOT_RUN && r.mayHaveRun {
+		status = pb.Status_STATUS_OUTCOME_UNKNOWN
+	}
 	r.status, r.reason = status, reason
 	if status != pb.Status_STATUS_OK {
 		a.counters().Refusal(reason)
--- a/request/admit.go
+++ b/request/admit.go
@@ -74,7 +74,8 @@
 	r := &record{
 		key:        k,
 		idempotent: p.GetIdempotent(),
-		spilled:    p.GetStatus() == pb.Status_STATUS_NOT_RUN,
+		spilled:    p.GetStatus() != pb.Status_STATUS_UNSPECIFIED,
+		mayHaveRun: mayHaveRun(p),
 		packet:     p,
 		attempt:    max(p.GetAttempt(), 1),
 		since:      now,
@@ -99,6 +100,19 @@
 	a.admit(t, r, now)
 }
 
+// mayHaveRun reports whether an earlier transmission of a request without a record may have
+// run. A later transmission of an idempotent request may carry the token of a new holder while
+// the former one ran an earlier transmission. One handed on says so in its status.
+func mayHaveRun(p *pb.Packet) bool {
+	switch p.GetStatus() {
+	case pb.Status_STATUS_NOT_RUN:
+		return false
+	case pb.Status_STATUS_UNSPECIFIED:
+		return p.GetIdempotent() && p.GetAttempt() > 1
+	}
+	return true
+}
+
 // isTokenValid checks the guard token of a request without a record. With any other token the
 // request may have been seen by another holder, so it does not run here. An idempotent one is
 // told the token and comes again with it, unless another holder has already refused it.
@@ -167,7 +181,7 @@
 // runAgain runs an idempotent request whose answer is no longer held.
 func (a *admission) runAgain(t target, old *record, p *pb.Packet) {
 	now := time.Now()
-	r := &record{key: old.key, idempotent: true, spilled: old.spilled, packet: p, attempt: p.GetAttempt(), since: now,
+	r := &record{key: old.key, idempotent: true, mayHaveRun: true, spilled: old.spilled, packet: p, attempt: p.GetAttempt(), since: now,
 		deadline: now.Add(time.Duration(p.GetDeadlineMs()) * time.Millisecond)}
 	a.guard.replace(old, r)
 	a.counters().Retry(pb.Reason_REASON_ANSWER_LOST)
--- a/request/record.go
+++ b/request/record.go
@@ -37,6 +37,9 @@
 	// spilled marks a request handed on by another upstream's admission. Its answers carry
 	// no guard token, since the caller's flow belongs to the other admission.
 	spilled bool
+	// mayHaveRun marks a request that a former holder may have sent, or that ran here and
+	// whose answer is no longer held. It is never refused as not run.
+	mayHaveRun bool
 	// packet is the caller's packet until the request is finished.
 	packet *pb.Packet
 	// attempt numbers the runs; an answer to an earlier run is late.
--- a/request/retry.go
+++ b/request/retry.go
@@ -65,6 +65,14 @@
 	return a.moveTo(other, r, reason, now)
 }
 
+// handedOnStatus tells the other admission whether it may refuse the request as not run.
+func handedOnStatus(r *record) pb.Status {
+	if r.mayHaveRun {
+		return pb.Status_STATUS_OUTCOME_UNKNOWN
+	}
+	return pb.Status_STATUS_NOT_RUN
+}
+
 type candidate struct {
 	upstream *pb.Upstream
 	known    load.Known
@@ -109,7 +117,7 @@
 		GuardToken: c.known.Token,
 		Service:    a.resource.Service,
 		Upstream:   c.upstream.GetNumber(),
-		Status:     pb.Status_STATUS_NOT_RUN,
+		Status:     handedOnStatus(r),
 		Reason:     reason,
 		Payload:    r.packet.GetPayload(),
 	}
--- a/request/world_test.go
+++ b/request/world_test.go
@@ -45,9 +45,11 @@
 	notices   []*pb.UpstreamNotice
 	toCaller  []*pb.Packet
 	// fate returns the delays of the copies of one packet; nil is one hop.
-	fate func() []time.Duration
+	fate func(leg leg) []time.Duration
 	port uint16
 	open []*caller.Flow
+	// requests holds every transmission of a caller.
+	requests []*pb.Packet
 }
 
 type daemon struct {
@@ -89,8 +91,9 @@
 	w.front, err = w.network.Listen(serviceAddr)
 	g.Expect(err).NotTo(HaveOccurred())
 	go w.serve()
-	w.start(ctx, "a", tuning)
-	w.start(ctx, "b", tuning)
+	for _, id := range []membership.DaemonID{"a", "b", "c", "d"} {
+		w.start(ctx, id, tuning)
+	}
 	for i := uint32(1); i <= uint32(n); i++ {
 		w.activate("a", i, nil, ownership.Fresh)
 	}
@@ -160,12 +163,22 @@
 func (r router) Successor(ownership.Resource) (membership.DaemonID, bool) { return "", false }
 func (r router) PreviousHolders(ownership.Resource) []membership.DaemonID { return nil }
 
+// leg tells the last hop to the upstream from the others.
+type leg int
+
+const (
+	lastHop leg = iota
+	otherHop
+)
+
 // later delivers copies of a packet by the network's fate.
-func (w *world) later(p *pb.Packet, deliver func(p *pb.Packet)) {
+func (w *world) later(p *pb.Packet, deliver func(p *pb.Packet)) { w.laterOn(otherHop, p, deliver) }
+
+func (w *world) laterOn(l leg, p *pb.Packet, deliver func(p *pb.Packet)) {
 	delays := []time.Duration{hop}
 	w.mu.Lock()
 	if w.fate != nil {
-		delays = w.fate()
+		delays = w.fate(l)
 	}
 	w.mu.Unlock()
 	raw, err := proto.Marshal(p)
@@ -208,7 +221,7 @@
 func (d *daemon) kill() { d.w.mu.Lock(); d.dead = true; d.w.mu.Unlock() }
 
 func (d *daemon) ToUpstream(_ netip.AddrPort, p *pb.Packet) {
-	d.do(func() { d.w.later(p, d.w.upstreams[p.GetUpstream()].receive) })
+	d.do(func() { d.w.laterOn(lastHop, p, d.w.upstreams[p.GetUpstream()].receive) })
 }
 
 func (d *daemon) ToCaller(p *pb.Packet) {
@@ -265,6 +278,9 @@
 	k := wire.FlowKeyFromProto(p.GetFlow())
 	w.mu.Lock()
 	p.Service, p.Upstream = 1, w.flows[k]
+	if p.GetKind() == pb.Kind_KIND_REQUEST {
+		w.requests = append(w.requests, proto.CloneOf(p))
+	}
 	w.mu.Unlock()
 	w.later(p, func(p *pb.Packet) {
 		h := w.holder(p.GetUpstream())
