--- a/load/table.go
+++ b/load/table.go
@@ -16,8 +16,8 @@
 	Token uint64
 	// Own is true when the admission is held here, so that the figures are exact.
 	Own bool
-	// At is the time of the notice.
-	At time.Time
+	// At is the time of the notice, and Since that of the first notice with this state.
+	At, Since time.Time
 }
 
 // Table holds what is known of all upstreams. Its methods may be called concurrently.
@@ -38,13 +38,19 @@
 func (t *Table) store(n *pb.UpstreamNotice, own bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := time.Now()
+	since := now
+	if old, ok := t.known[n.GetUpstream()]; ok && old.State == n.GetState() {
+		since = old.Since
+	}
 	t.known[n.GetUpstream()] = Known{
 		State:      n.GetState(),
 		InProgress: int(n.GetInProgress()),
 		Queued:     int(n.GetQueued()),
 		Token:      n.GetGuardToken(),
 		Own:        own,
-		At:         time.Now(),
+		At:         now,
+		Since:      since,
 	}
 }
 
@@ -70,6 +76,19 @@
 	return !ok || k.State == pb.UpstreamState_UPSTREAM_STATE_OK || k.State == pb.UpstreamState_UPSTREAM_STATE_UNSPECIFIED
 }
 
+// Share returns the share of its usual new flows that an upstream may get, from 0 to 1. A cold
+// one gets a quarter at first and all after 10 s.
+func (t *Table) Share(upstream uint32) float64 {
+	k, ok := t.Known(upstream)
+	switch {
+	case !ok || k.State == pb.UpstreamState_UPSTREAM_STATE_OK || k.State == pb.UpstreamState_UPSTREAM_STATE_UNSPECIFIED:
+		return 1
+	case k.State == pb.UpstreamState_UPSTREAM_STATE_COLD:
+		return coldShareAfter(time.Since(k.Since))
+	}
+	return 0
+}
+
 // ExpectedWait estimates the wait at an upstream with the given slots from the last notice
 // and a service time, usually that of another upstream of the same service.
 func (k Known) ExpectedWait(slots int, service time.Duration) time.Duration {
--- a/load/tracker.go
+++ b/load/tracker.go
@@ -18,7 +18,7 @@
 	// reportLife bounds how long a report above the own count holds slots. Without it a
 	// frozen report would starve an upstream that sends nothing because it gets nothing.
 	reportLife = time.Second
-	// sheddingHold is the time without refusals after which an upstream that got no work
+	// sheddingHold is the time after the back-off after which an upstream that got no work
 	// counts as recovered; without work it cannot prove it.
 	sheddingHold = 5 * time.Second
 	// sheddingMin keeps the state from changing at each refusal.
@@ -28,6 +28,12 @@
 	maxBackoff   = 5 * time.Second
 	// ewmaWeight gives the last ten service times most of the weight.
 	ewmaWeight = 0.2
+
+	// stuckAfter is the number of time-outs without an answer in between after which an
+	// upstream that still acknowledges probes counts as silent.
+	stuckAfter = 3
+	// stuckHold is the time after which a stuck upstream that gets no work is tried again.
+	stuckHold = 10 * time.Second
 )
 
 // Tracker follows one upstream from its admission. It has no lock: the admission's lock
@@ -42,6 +48,9 @@
 	waiting time.Time // since when work waits without a packet from the upstream
 	silent  bool
 
+	timeouts    int // since the last answer
+	lastTimeout time.Time
+
 	cold      bool
 	coldSince time.Time
 
@@ -80,6 +89,7 @@
 		t.service += time.Duration(ewmaWeight * float64(took-t.service))
 	}
 	t.refusals = 0
+	t.answered(now)
 	if t.shedding && now.Sub(t.lastRefusal) >= sheddingMin {
 		t.shedding = false
 	}
@@ -88,6 +98,22 @@
 // Abandoned frees the slot of a request that ended without an answer.
 func (t *Tracker) Abandoned() { t.inProgress = max(t.inProgress-1, 0) }
 
+// TimedOut notes that a request got no answer by its deadline; its slot is freed separately.
+func (t *Tracker) TimedOut(now time.Time) {
+	t.timeouts++
+	t.lastTimeout = now
+}
+
+// answered ends a row of time-outs. An upstream that was stuck starts cold.
+func (t *Tracker) answered(now time.Time) {
+	if t.isStuck() {
+		t.warmUp(now)
+	}
+	t.timeouts = 0
+}
+
+func (t *Tracker) isStuck() bool { return t.timeouts >= stuckAfter }
+
 // Heard notes a packet from the upstream. One that was silent starts cold.
 func (t *Tracker) Heard(now time.Time) {
 	t.heard, t.waiting = now, now
@@ -127,10 +153,13 @@
 	if t.inProgress > 0 && !t.silent && now.Sub(t.waiting) > silenceLimit {
 		t.silent = true
 	}
+	if t.isStuck() && now.Sub(t.lastTimeout) >= stuckHold {
+		t.answered(now)
+	}
 	if t.cold && now.Sub(t.coldSince) >= coldTime {
 		t.cold = false
 	}
-	if t.shedding && now.Sub(t.lastRefusal) >= sheddingHold {
+	if t.shedding && now.Sub(t.heldUntil) >= sheddingHold {
 		t.shedding, t.refusals = false, 0
 	}
 }
@@ -141,7 +170,7 @@
 	switch {
 	case t.declared, t.report.GetDraining():
 		return pb.UpstreamState_UPSTREAM_STATE_DRAINING
-	case t.silent:
+	case t.silent, t.isStuck():
 		return pb.UpstreamState_UPSTREAM_STATE_SILENT
 	case t.shedding, t.report.GetShedding() && now.Sub(t.reported) < sheddingHold:
 		return pb.UpstreamState_UPSTREAM_STATE_SHEDDING
@@ -159,15 +188,20 @@
 	switch {
 	case now.Before(t.heldUntil):
 		return 0
-	case t.silent, t.refusals > 0:
+	case t.silent, t.isStuck(), t.refusals > 0:
 		return 1
 	case t.cold:
-		share := coldShare + (1-coldShare)*float64(now.Sub(t.coldSince))/float64(coldTime)
+		share := coldShareAfter(now.Sub(t.coldSince))
 		return max(int(math.Ceil(share*float64(t.slots)-1e-9)), 1)
 	}
 	return t.slots
 }
 
+// coldShareAfter is the share that a cold upstream gets after a time in that state.
+func coldShareAfter(d time.Duration) float64 {
+	return min(coldShare+(1-coldShare)*float64(d)/float64(coldTime), 1)
+}
+
 // Free returns the number of requests that may be sent now. A report above the own count is
 // believed up to the slots, but never holds back the first request.
 func (t *Tracker) Free(now time.Time) int {
--- a/request/admission.go
+++ b/request/admission.go
@@ -19,6 +19,9 @@
 	resource ownership.Resource
 	wake     chan struct{}
 
+	// claimed is true from an activation to the release; the Engine's mutex protects it.
+	claimed bool
+
 	mu     sync.Mutex
 	active bool
 	token  uint64
--- a/request/admit_test.go
+++ b/request/admit_test.go
@@ -12,6 +12,7 @@
 	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
 	"github.com/fulmarfield/fulmarfield/caller"
 	"github.com/fulmarfield/fulmarfield/config"
+	"github.com/fulmarfield/fulmarfield/membership"
 	"github.com/fulmarfield/fulmarfield/request"
 )
 
@@ -184,7 +185,16 @@
 // Guards against an idempotent request that waits at a busy upstream while another one of the
 // service is idle, and against running it at both.
 func TestIdempotentGoesElsewhere(t *testing.T) {
+	for _, holder := range []membership.DaemonID{"a", "b"} {
+		t.Run(string(holder), func(t *testing.T) { goesElsewhere(t, holder) })
+	}
+}
+
+func goesElsewhere(t *testing.T, holder membership.DaemonID) {
 	simulate(t, 2, request.Tuning{}, func(w *world) {
+		if holder != "a" {
+			w.transfer(2, holder)
+		}
 		w.upstreams[1].service = time.Second
 		f := w.flow(1)
 		busy := w.askMany(f, 6, false, 20*time.Second)
--- /dev/null
+++ b/request/bench_test.go
@@ -0,0 +1,108 @@
+package request_test
+
+import (
+	"net/netip"
+	"testing"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/config"
+	"github.com/fulmarfield/fulmarfield/ownership"
+	"github.com/fulmarfield/fulmarfield/request"
+	"github.com/fulmarfield/fulmarfield/wire"
+)
+
+// sink discards what the Engine sends, but keeps the token of the last packet to an upstream.
+type sink struct{ token uint64 }
+
+func (s *sink) ToUpstream(_ netip.AddrPort, p *pb.Packet) { s.token = p.GetGuardToken() }
+func (*sink) ToCaller(*pb.Packet)                         {}
+func (*sink) ToAdmission(uint32, uint32, *pb.Packet)      {}
+func (s *sink) Notify(n *pb.UpstreamNotice)               { s.token = n.GetGuardToken() }
+
+type fixed struct{ *config.Snapshot }
+
+func (f fixed) Current() *config.Snapshot           { return f.Snapshot }
+func (fixed) Subscribe(func(_, _ *config.Snapshot)) {}
+func newKey(caller string) wire.FlowKey {
+	k, _ := wire.NewFlowKey(netip.MustParseAddrPort(caller), serviceAddr)
+	return k
+}
+
+// BenchmarkAdmission measures one request and its answer through the guard, the slots and the
+// records, without the network.
+func BenchmarkAdmission(b *testing.B) {
+	service := &pb.Service{Number: 1, Address: serviceAddr.String(),
+		Upstreams: []*pb.Upstream{{Number: 1, Address: "127.0.3.1:900", Slots: 2}}}
+	out := &sink{}
+	e := request.New(request.Options{Self: "a", Output: out,
+		Config: fixed{config.NewSnapshot(&pb.Configuration{Services: []*pb.Service{service}})}})
+	e.Activate(ownership.Admission(1, 1), nil, ownership.Fresh)
+	key := newKey("127.0.9.1:4000").Proto()
+	payload := make([]byte, 200)
+	b.ReportAllocs()
+	id := uint64(0)
+	for b.Loop() {
+		id++
+		e.HandleCaller(&pb.Packet{Flow: key, Kind: pb.Kind_KIND_REQUEST, RequestId: id, Attempt: 1, Service: 1, Upstream: 1,
+			DeadlineMs: 1000, GuardToken: out.token, Payload: payload})
+		e.HandleUpstream(&pb.Packet{Flow: key, Kind: pb.Kind_KIND_ANSWER, RequestId: id, Attempt: 1, Service: 1, Upstream: 1,
+			Status: pb.Status_STATUS_OK, Parts: 1, Payload: payload})
+	}
+	if e.Status(1).GetInProgress() != 0 {
+		b.Fatal("requests were not finished")
+	}
+}
+
+// BenchmarkDuplicate measures a retransmission of a request in progress.
+func BenchmarkDuplicate(b *testing.B) {
+	e, p := requestInProgress()
+	b.ReportAllocs()
+	for b.Loop() {
+		e.HandleCaller(p)
+	}
+}
+
+// BenchmarkParallel compares the mutex of an admission with one task that takes packets from a
+// channel, both with packets from all processors.
+func BenchmarkParallel(b *testing.B) {
+	b.Run("mutex", func(b *testing.B) {
+		e, p := requestInProgress()
+		b.RunParallel(func(pb *testing.PB) {
+			for pb.Next() {
+				e.HandleCaller(p)
+			}
+		})
+	})
+	b.Run("channel", func(b *testing.B) {
+		e, p := requestInProgress()
+		commands := make(chan *pb.Packet, 1024)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			for c := range commands {
+				e.HandleCaller(c)
+			}
+		}()
+		b.RunParallel(func(pb *testing.PB) {
+			for pb.Next() {
+				commands <- p
+			}
+		})
+		close(commands)
+		<-done
+	})
+}
+
+// requestInProgress returns an Engine and a request that it has sent.
+func requestInProgress() (*request.Engine, *pb.Packet) {
+	service := &pb.Service{Number: 1, Address: serviceAddr.String(),
+		Upstreams: []*pb.Upstream{{Number: 1, Address: "127.0.3.1:900", Slots: 2}}}
+	out := &sink{}
+	e := request.New(request.Options{Self: "a", Output: out,
+		Config: fixed{config.NewSnapshot(&pb.Configuration{Services: []*pb.Service{service}})}})
+	e.Activate(ownership.Admission(1, 1), nil, ownership.Fresh)
+	p := &pb.Packet{Flow: newKey("127.0.9.1:4000").Proto(), Kind: pb.Kind_KIND_REQUEST, RequestId: 1, Attempt: 1, Service: 1,
+		Upstream: 1, DeadlineMs: 60_000, GuardToken: out.token}
+	e.HandleCaller(p)
+	return e, p
+}
--- a/request/health_test.go
+++ b/request/health_test.go
@@ -64,6 +64,26 @@
 	})
 }
 
+// Guards against an upstream that takes requests and acknowledges probes but never answers, and
+// that goes on getting new flows.
+func TestFrozenUpstream(t *testing.T) {
+	simulate(t, 1, request.Tuning{}, func(w *world) {
+		u := w.upstreams[1]
+		f := w.flow(1)
+		w.g.Expect((<-w.ask(f, "first", false, time.Second)).Status).To(Equal(ok))
+		u.set(func() { u.frozen = true })
+		w.g.Expect(statuses(w.askMany(f, 4, false, 6*time.Second))[ok]).To(BeZero())
+		time.Sleep(2 * time.Second)
+		w.g.Expect(statuses(w.askMany(f, 2, false, time.Second))[ok]).To(BeZero())
+		w.g.Expect(w.holder(1).Status(1).GetState()).To(Equal(pb.UpstreamState_UPSTREAM_STATE_SILENT))
+		w.g.Expect(w.packets(pb.Kind_KIND_RESET)).To(BeEmpty(), "the upstream knows the flow")
+		u.set(func() { u.frozen = false })
+		time.Sleep(time.Second)
+		w.g.Expect((<-w.ask(f, "again", false, time.Second)).Status).To(Equal(ok))
+		w.g.Expect(w.holder(1).Status(1).GetState()).To(Equal(pb.UpstreamState_UPSTREAM_STATE_COLD))
+	})
+}
+
 // Guards against half-open flows that hang, and against resetting an idle flow or one whose
 // request only takes long.
 func TestHalfOpenFlow(t *testing.T) {
--- a/request/task.go
+++ b/request/task.go
@@ -70,7 +70,7 @@
 	if isElsewhere {
 		a.handBack(now)
 	}
-	if a.guard.expire(now) {
+	if a.guard.expire(now) && a.active {
 		a.renewToken()
 	}
 	a.dispatch(t, now)
@@ -126,9 +126,11 @@
 			a.guard.finish(r, now)
 			a.free(r)
 		case r.parts.isPartial():
+			a.tracker.TimedOut(now)
 			a.giveUp(r, pb.Status_STATUS_ERROR, pb.Reason_REASON_PARTS_LOST)
 			a.cancelAtUpstream(t.address, r)
 		default:
+			a.tracker.TimedOut(now)
 			a.giveUp(r, pb.Status_STATUS_OUTCOME_UNKNOWN, pb.Reason_REASON_DEADLINE)
 			a.cancelAtUpstream(t.address, r)
 		}
--- a/request/transfer.go
+++ b/request/transfer.go
@@ -26,6 +26,7 @@
 		e.admissions[r.Index] = a
 		go a.run()
 	}
+	a.claimed = true
 	e.mu.Unlock()
 	a.locked(func() { a.activate(records.GetAdmission(), p) })
 }
@@ -68,6 +69,9 @@
 		return records
 	}
 	a.locked(func() { records.Admission = a.release() })
+	e.mu.Lock()
+	a.claimed = false
+	e.mu.Unlock()
 	e.options.Load.Forget(r.Index)
 	return records
 }
@@ -172,7 +176,7 @@
 	defer e.mu.Unlock()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.active || len(a.busy) > 0 || time.Since(a.released) < recordLife {
+	if a.claimed || len(a.busy) > 0 || time.Since(a.released) < recordLife {
 		return false
 	}
 	delete(e.admissions, a.resource.Index)
