Cover the mechanisms that no test would miss

Cause: of 31 mechanisms switched off one at a time in a scratch copy, five were noticed by no test: the hand-back of queued requests, the service check by address, the record for a cancellation that overtakes its request, and the two rules on refusals of idempotent requests after a change of holder. Change: tests for these and for the overflow of the low-water marks, which changes the guard token.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -126,6 +126,27 @@
 	})
 }
 
+// Guards against trusting the refusal of one holder when another one may have run the request.
+func TestRefusalAfterNewToken(t *testing.T) {
+	run(t, func(p *pb.Packet) []*pb.Packet {
+		switch {
+		case p.GetKind() != pb.Kind_KIND_REQUEST:
+			return nil
+		case p.GetGuardToken() == 7:
+			return []*pb.Packet{{Kind: pb.Kind_KIND_TOKEN, GuardToken: 8}}
+		}
+		return []*pb.Packet{{Kind: pb.Kind_KIND_ANSWER, RequestId: p.GetRequestId(), GuardToken: 7, Status: pb.Status_STATUS_NOT_RUN}}
+	}, func(g *WithT, f *caller.Flow, s *service, _ *telemetry.Counters) {
+		start := time.Now()
+		a, err := f.Request(context.Background(), caller.Request{Idempotent: true, Deadline: time.Second})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(a.Status).To(Equal(pb.Status_STATUS_OUTCOME_UNKNOWN))
+		g.Expect(time.Since(start)).To(BeNumerically("<", 10*time.Millisecond), "a new token is used at once")
+		a, _ = f.Request(context.Background(), caller.Request{Idempotent: true, Deadline: time.Second})
+		g.Expect(a.Status).To(Equal(pb.Status_STATUS_NOT_RUN), "one token only")
+	})
+}
+
 // Guards against answers made of parts of two runs, of too few parts, or of another flow.
 func TestAnswerIsWhole(t *testing.T) {
 	other, _ := wire.NewFlowKey(netip.MustParseAddrPort("127.0.9.2:1"), serviceAddr)
--- a/request/admit_test.go
+++ b/request/admit_test.go
@@ -128,6 +128,22 @@
 	})
 }
 
+// Guards against running a request whose cancellation overtook it.
+func TestCancelOvertakes(t *testing.T) {
+	simulate(t, 1, request.Tuning{}, func(w *world) {
+		f := w.flow(1)
+		w.g.Expect((<-w.ask(f, "first", false, time.Second)).Status).To(Equal(ok))
+		p := w.sent(1, "first")
+		p.RequestId, p.Payload = p.GetRequestId()+1, []byte("second")
+		c := &pb.Packet{Flow: p.GetFlow(), Kind: pb.Kind_KIND_CANCEL, RequestId: p.GetRequestId(), Service: 1, Upstream: 1}
+		w.holder(1).HandleCaller(c)
+		w.holder(1).HandleCaller(p)
+		time.Sleep(time.Second)
+		w.g.Expect(w.upstreams[1].ran(f.Key(), "second")).To(BeZero())
+		w.g.Expect(w.lastAnswer().GetReason()).To(Equal(pb.Reason_REASON_CANCELLED))
+	})
+}
+
 // Guards against answers that are passed on with parts missing or in the wrong order.
 func TestPartsOfAnswers(t *testing.T) {
 	simulate(t, 1, request.Tuning{}, func(w *world) {
--- a/request/bench_test.go
+++ b/request/bench_test.go
@@ -1,8 +1,15 @@
 package request_test
 
 import (
+	"context"
 	"net/netip"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
 	"github.com/fulmarfield/fulmarfield/config"
@@ -11,13 +18,17 @@
 	"github.com/fulmarfield/fulmarfield/wire"
 )
 
-// sink discards what the Engine sends, but keeps the token of the last packet to an upstream.
-type sink struct{ token uint64 }
+// sink discards what the Engine sends, but keeps the token of the last notice and the reason of
+// the last packet to a caller.
+type sink struct {
+	token  atomic.Uint64
+	reason atomic.Int32
+}
 
-func (s *sink) ToUpstream(_ netip.AddrPort, p *pb.Packet) { s.token = p.GetGuardToken() }
-func (*sink) ToCaller(*pb.Packet)                         {}
-func (*sink) ToAdmission(uint32, uint32, *pb.Packet)      {}
-func (s *sink) Notify(n *pb.UpstreamNotice)               { s.token = n.GetGuardToken() }
+func (*sink) ToUpstream(netip.AddrPort, *pb.Packet)  {}
+func (s *sink) ToCaller(p *pb.Packet)                { s.reason.Store(int32(p.GetReason())) }
+func (*sink) ToAdmission(uint32, uint32, *pb.Packet) {}
+func (s *sink) Notify(n *pb.UpstreamNotice)          { s.token.Store(n.GetGuardToken()) }
 
 type fixed struct{ *config.Snapshot }
 
@@ -28,15 +39,46 @@
 	return k
 }
 
-// BenchmarkAdmission measures one request and its answer through the guard, the slots and the
-// records, without the network.
-func BenchmarkAdmission(b *testing.B) {
+// newSink returns an Engine that holds the admission of one upstream, without a network.
+func newSink() (*request.Engine, *sink) {
 	service := &pb.Service{Number: 1, Address: serviceAddr.String(),
 		Upstreams: []*pb.Upstream{{Number: 1, Address: "127.0.3.1:900", Slots: 2}}}
 	out := &sink{}
 	e := request.New(request.Options{Self: "a", Output: out,
 		Config: fixed{config.NewSnapshot(&pb.Configuration{Services: []*pb.Service{service}})}})
 	e.Activate(ownership.Admission(1, 1), nil, ownership.Fresh)
+	return e, out
+}
+
+// Guards against low-water marks without bound, and against running an old request after the
+// marks were given up: the token must change with them.
+func TestTooManyFlows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		e, out := newSink()
+		ctx, cancel := context.WithCancel(context.Background())
+		go e.Run(ctx)
+		defer cancel()
+		first := out.token.Load()
+		p := &pb.Packet{Flow: newKey("127.0.9.1:4000").Proto(), Kind: pb.Kind_KIND_REQUEST, RequestId: 1, Attempt: 1,
+			Service: 1, Upstream: 1, DeadlineMs: 1000, GuardToken: first}
+		for range 66_000 {
+			p = proto.CloneOf(p)
+			p.Flow.CallerIp++
+			e.HandleCaller(p)
+		}
+		g.Expect(pb.Reason(out.reason.Load())).To(Equal(pb.Reason_REASON_QUEUE_FULL))
+		time.Sleep(125 * time.Second)
+		g.Expect(out.token.Load()).NotTo(Equal(first))
+		e.HandleCaller(proto.CloneOf(p))
+		g.Expect(pb.Reason(out.reason.Load())).To(Equal(pb.Reason_REASON_STALE_GUARD))
+	})
+}
+
+// BenchmarkAdmission measures one request and its answer through the guard, the slots and the
+// records, without the network.
+func BenchmarkAdmission(b *testing.B) {
+	e, out := newSink()
 	key := newKey("127.0.9.1:4000").Proto()
 	payload := make([]byte, 200)
 	b.ReportAllocs()
@@ -44,7 +86,7 @@
 	for b.Loop() {
 		id++
 		e.HandleCaller(&pb.Packet{Flow: key, Kind: pb.Kind_KIND_REQUEST, RequestId: id, Attempt: 1, Service: 1, Upstream: 1,
-			DeadlineMs: 1000, GuardToken: out.token, Payload: payload})
+			DeadlineMs: 1000, GuardToken: out.token.Load(), Payload: payload})
 		e.HandleUpstream(&pb.Packet{Flow: key, Kind: pb.Kind_KIND_ANSWER, RequestId: id, Attempt: 1, Service: 1, Upstream: 1,
 			Status: pb.Status_STATUS_OK, Parts: 1, Payload: payload})
 	}
@@ -95,14 +137,9 @@
 
 // requestInProgress returns an Engine and a request that it has sent.
 func requestInProgress() (*request.Engine, *pb.Packet) {
-	service := &pb.Service{Number: 1, Address: serviceAddr.String(),
-		Upstreams: []*pb.Upstream{{Number: 1, Address: "127.0.3.1:900", Slots: 2}}}
-	out := &sink{}
-	e := request.New(request.Options{Self: "a", Output: out,
-		Config: fixed{config.NewSnapshot(&pb.Configuration{Services: []*pb.Service{service}})}})
-	e.Activate(ownership.Admission(1, 1), nil, ownership.Fresh)
+	e, out := newSink()
 	p := &pb.Packet{Flow: newKey("127.0.9.1:4000").Proto(), Kind: pb.Kind_KIND_REQUEST, RequestId: 1, Attempt: 1, Service: 1,
-		Upstream: 1, DeadlineMs: 60_000, GuardToken: out.token}
+		Upstream: 1, DeadlineMs: 60_000, GuardToken: out.token.Load()}
 	e.HandleCaller(p)
 	return e, p
 }
--- a/request/guard_test.go
+++ b/request/guard_test.go
@@ -114,6 +114,8 @@
 		token := w.packets(pb.Kind_KIND_OPENED)[0].GetGuardToken()
 		w.transfer(1, "b")
 		w.g.Expect(w.engines["a"].InProgress()).To(Equal(2))
+		time.Sleep(50 * time.Millisecond) // less than a retransmission takes
+		w.g.Expect(w.holder(1).Status(1).GetQueued()).To(BeEquivalentTo(3))
 		for i, c := range waiting {
 			r := <-c
 			w.g.Expect(r.Status).To(Equal(ok), names[i])
@@ -212,6 +214,24 @@
 	})
 }
 
+// Guards against a false 'not run' for an idempotent request that a lost holder ran: the new
+// holder sees a later transmission with its own token and has to refuse it.
+func TestRefusalAfterOwnerDeath(t *testing.T) {
+	simulate(t, 1, request.Tuning{}, func(w *world) {
+		u := w.upstreams[1]
+		f := w.flow(1)
+		u.service = 300 * time.Millisecond
+		c := w.ask(f, "read", true, 1100*time.Millisecond)
+		time.Sleep(100 * time.Millisecond)
+		w.engines["a"].kill()
+		w.activate("b", 1, nil, ownership.Recovered)
+		u.set(func() { u.refuse = func() bool { return true } })
+		w.g.Expect((<-c).Status).To(Equal(unknown))
+		w.g.Expect(w.lastAnswer().GetStatus()).To(Equal(unknown), "also without the rule of the callers' library")
+		w.g.Expect(u.ran(f.Key(), "read")).To(Equal(1))
+	})
+}
+
 // Guards against packets that reach an upstream of another service, and answers that reach the
 // caller of another flow.
 func TestIsolation(t *testing.T) {
@@ -229,10 +249,14 @@
 		wrong.Flow.ServiceIp++ // 127.2.1.2 is no service
 		w.holder(1).HandleCaller(wrong)
 		wrong = proto.CloneOf(p)
+		wrong.Flow.ServiceIp += 1 << 8 // 127.2.2.1 is the other service
+		wrong.Service = 0
+		w.holder(1).HandleCaller(wrong)
+		wrong = proto.CloneOf(p)
 		wrong.Upstream = 90
 		w.holder(1).HandleCaller(wrong)
 		w.g.Expect(u.count(pb.Kind_KIND_REQUEST)).To(Equal(before))
-		w.g.Expect(w.engines["a"].counters.Get("drop.wrong_service")).To(BeEquivalentTo(3))
+		w.g.Expect(w.engines["a"].counters.Get("drop.wrong_service")).To(BeEquivalentTo(4))
 
 		u.set(func() { u.frozen = true })
 		c := w.ask(f, "secret", false, time.Second)
