--- a/request/admission.go
+++ b/request/admission.go
@@ -19,6 +19,9 @@
 	resource ownership.Resource
 	wake     chan struct{}
 
+	// claimed is true from an activation to the release; the Engine's mutex protects it.
+	claimed bool
+
 	mu     sync.Mutex
 	active bool
 	token  uint64
@@ -145,6 +148,9 @@
 // finish records the final status of a request and tells the caller. The slot, if the request
 // occupies one, is freed separately.
 func (a *admission) finish(r *record, status pb.Status, reason pb.Reason) {
+	if status == pb.Status_STATUS_NOT_RUN && r.mayHaveRun {
+		status = pb.Status_STATUS_OUTCOME_UNKNOWN
+	}
 	r.status, r.reason = status, reason
 	if status != pb.Status_STATUS_OK {
 		a.counters().Refusal(reason)
--- a/request/admit_test.go
+++ b/request/admit_test.go
@@ -12,6 +12,7 @@
 	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
 	"github.com/fulmarfield/fulmarfield/caller"
 	"github.com/fulmarfield/fulmarfield/config"
+	"github.com/fulmarfield/fulmarfield/membership"
 	"github.com/fulmarfield/fulmarfield/request"
 )
 
@@ -127,6 +128,22 @@
 	})
 }
 
+// Guards against running a request whose cancellation overtook it.
+func TestCancelOvertakes(t *testing.T) {
+	simulate(t, 1, request.Tuning{}, func(w *world) {
+		f := w.flow(1)
+		w.g.Expect((<-w.ask(f, "first", false, time.Second)).Status).To(Equal(ok))
+		p := w.sent(1, "first")
+		p.RequestId, p.Payload = p.GetRequestId()+1, []byte("second")
+		c := &pb.Packet{Flow: p.GetFlow(), Kind: pb.Kind_KIND_CANCEL, RequestId: p.GetRequestId(), Service: 1, Upstream: 1}
+		w.holder(1).HandleCaller(c)
+		w.holder(1).HandleCaller(p)
+		time.Sleep(time.Second)
+		w.g.Expect(w.upstreams[1].ran(f.Key(), "second")).To(BeZero())
+		w.g.Expect(w.lastAnswer().GetReason()).To(Equal(pb.Reason_REASON_CANCELLED))
+	})
+}
+
 // Guards against answers that are passed on with parts missing or in the wrong order.
 func TestPartsOfAnswers(t *testing.T) {
 	simulate(t, 1, request.Tuning{}, func(w *world) {
@@ -184,7 +201,16 @@
 // Guards against an idempotent request that waits at a busy upstream while another one of the
 // service is idle, and against running it at both.
 func TestIdempotentGoesElsewhere(t *testing.T) {
+	for _, holder := range []membership.DaemonID{"a", "b"} {
+		t.Run(string(holder), func(t *testing.T) { goesElsewhere(t, holder) })
+	}
+}
+
+func goesElsewhere(t *testing.T, holder membership.DaemonID) {
 	simulate(t, 2, request.Tuning{}, func(w *world) {
+		if holder != "a" {
+			w.transfer(2, holder)
+		}
 		w.upstreams[1].service = time.Second
 		f := w.flow(1)
 		busy := w.askMany(f, 6, false, 20*time.Second)
