Add the experiment tool with broken connections and balance

Cause: the choice of placement rules and load bounds must rest on figures of the project's own code beside simpler policies.

Change: cmd/experiment runs declared experiments in simulated time around Steerers and Engines, and writes tables, CSV, percentiles and SVG plots. Two experiments are declared: broken connections at changes, and connection balance by load bound.

--- /dev/null
+++ b/experiment/clock.go
@@ -0,0 +1,109 @@
+package experiment
+
+import (
+	"container/heap"
+	"encoding/binary"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+)
+
+// clock runs events in order of their time. Other goroutines of the bubble may add events;
+// only run executes them, so the model needs no locks of its own.
+type clock struct {
+	mu     sync.Mutex
+	start  time.Time
+	events eventHeap
+	order  uint64
+	added  chan struct{}
+}
+
+type event struct {
+	at time.Duration
+	// key orders events of one time whose order of arrival is random, since tasks add them.
+	key   uint64
+	order uint64
+	do    func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	if h[i].key != h[j].key {
+		return h[i].key < h[j].key
+	}
+	return h[i].order < h[j].order
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+func newClock() *clock { return &clock{start: time.Now(), added: make(chan struct{}, 1)} }
+
+// now returns the simulated time since the start.
+func (c *clock) now() time.Duration { return time.Since(c.start) }
+
+// at adds an event at a time since the start.
+func (c *clock) at(t time.Duration, do func()) { c.add(t, 0, do) }
+
+// afterBy adds an event after a delay, from any goroutine. Events of one time run in order of
+// their content, a deterministic serialization of m and the receiver.
+func (c *clock) afterBy(d time.Duration, m proto.Message, receiver uint32, do func()) {
+	raw, _ := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	c.add(c.now()+d, xxhash.Sum64(binary.BigEndian.AppendUint32(raw, receiver)), do)
+}
+
+func (c *clock) add(t time.Duration, key uint64, do func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.order++
+	heap.Push(&c.events, event{t, key, c.order, do})
+	if c.events[0].order != c.order {
+		return
+	}
+	select {
+	case c.added <- struct{}{}:
+	default:
+	}
+}
+
+// after adds an event after a delay.
+func (c *clock) after(d time.Duration, do func()) { c.at(c.now()+d, do) }
+
+// run executes events until the end.
+func (c *clock) run(end time.Duration) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		c.mu.Lock()
+		next, now := end, c.now()
+		if len(c.events) > 0 {
+			next = min(next, c.events[0].at)
+		}
+		if next <= now && now < end {
+			e := heap.Pop(&c.events).(event)
+			c.mu.Unlock()
+			e.do()
+			continue
+		}
+		c.mu.Unlock()
+		if now >= end {
+			return
+		}
+		timer.Reset(next - now)
+		select {
+		case <-timer.C:
+		case <-c.added:
+		}
+	}
+}
--- /dev/null
+++ b/experiment/experiment_test.go
@@ -0,0 +1,147 @@
+package experiment
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+const small = `name: small
+kind: requests
+duration: 40s
+measure: 5s
+settings: {daemons: 3, upstreams: 4, slots: 2, flows: 60, offered: 1.5, caller_retries: 1, heavy_callers: 0.1, heavy_requests: 0.5}
+policies:
+  - policy: random
+  - policy: round-robin
+  - policy: modulo
+  - policy: table
+  - policy: report
+  - policy: fulmar
+scenarios:
+  - name: faults
+    faults: [{at: 25s, kind: cold, target: 2}, {at: 26s, kind: lie, target: 3}, {at: 30s, kind: shed, target: 4, share: 0.5, for: 2s}]
+`
+
+func parse(g *WithT, text string) *Declaration {
+	d, err := Parse("small.yaml", []byte(text))
+	g.Expect(err).NotTo(HaveOccurred())
+	return d
+}
+
+// Guards against requests that end twice or never, and against an admission that sends more
+// than the slots.
+func TestConservation(t *testing.T) {
+	g := NewWithT(t)
+	d := parse(g, small)
+	r := Run(t, d, 1, io.Discard)
+	g.Expect(r.Measures).To(HaveLen(6))
+	for _, m := range r.Measures {
+		g.Expect(m.attempts).To(BeNumerically(">", 1000), m.Policy)
+		g.Expect(m.finished+m.unfinished).To(Equal(m.attempts), m.Policy)
+		g.Expect(m.flowsOnUpstreams).To(Equal(m.flowsAtEnd), m.Policy)
+		g.Expect(m.mostRunning).To(BeNumerically("<=", 2), m.Policy)
+		if m.Policy == Fulmar {
+			g.Expect(m.mostWork).To(Equal(1.0), "work beyond the slots of an upstream")
+		}
+	}
+}
+
+// Guards against hidden randomness: a report must be reproducible from its seed. Control bytes
+// after changes are left out: steering queues exceptions of one moment in the random order of
+// a map, and batches them by size.
+func TestSameSeedSameReport(t *testing.T) {
+	g := NewWithT(t)
+	flows := `name: flows
+kind: flows
+duration: 60s
+settings: {daemons: 3, upstreams: 5, slots: 2, flows: 2000, mean_life: 60s, load_bound: 105}
+policies: [{policy: fulmar}, {policy: table}]
+scenarios: [{name: changes, faults: [{at: 25s, kind: kill, target: 1}, {at: 35s, kind: drain, target: 2}, {at: 45s, kind: join}]}]
+`
+	for _, text := range []string{small, flows} {
+		d := parse(g, text)
+		var tables []string
+		for _, seed := range []uint64{5, 5, 6} {
+			var b bytes.Buffer
+			r := Run(t, d, seed, io.Discard)
+			for _, m := range r.Measures {
+				if d.Kind == kindFlows {
+					m.controlBytes = 0
+				}
+			}
+			g.Expect(r.Table(&b)).To(Succeed())
+			tables = append(tables, b.String()[bytes.IndexByte(b.Bytes(), '|'):])
+		}
+		g.Expect(tables[1]).To(Equal(tables[0]))
+		g.Expect(tables[2]).NotTo(Equal(tables[0]))
+	}
+}
+
+// Guards against broken connections that the model, not the design, would cause.
+func TestNoBrokenConnectionAtPlannedChanges(t *testing.T) {
+	g := NewWithT(t)
+	d := parse(g, `name: planned
+kind: flows
+duration: 90s
+settings: {daemons: 3, upstreams: 5, slots: 2, flows: 1000, mean_life: 100s}
+policies: [{policy: fulmar}]
+scenarios: [{name: changes, faults: [{at: 30s, kind: drain, target: 2}, {at: 40s, kind: add}, {at: 50s, kind: join}, {at: 60s, kind: leave, target: 1}]}]
+`)
+	g.Expect(Run(t, d, 1, io.Discard).Measures[0].broken).To(BeEmpty())
+}
+
+// Guards against errors that do not tell where a declaration is wrong.
+func TestBadFieldIsRefusedWithLineAndField(t *testing.T) {
+	cases := map[string]struct{ text, want string }{
+		"unknown field": {"name: a\nkind: flows\nfoo: 1\n", "x.yaml:3: foo: is not a known field"},
+		"wrong kind":    {"name: a\nkind: some\n", `x.yaml:2: kind: "some" is not one of`},
+		"wrong policy": {"name: a\nkind: flows\nduration: 5s\nsettings: {daemons: 1, upstreams: 2, slots: 1, flows: 5}\npolicies:\n  - policy: fulmar\n  - policy: magic\n",
+			`x.yaml:7: policies[1].policy: "magic" is not one of`},
+		"fault target": {"name: a\nkind: flows\nduration: 5s\nsettings: {daemons: 1, upstreams: 2, slots: 1, flows: 5}\npolicies: [{policy: fulmar}]\nscenarios:\n  - name: b\n    faults:\n      - kind: kill\n        target: 9\n",
+			"x.yaml:10: scenarios[0].faults[0].target: 9 is not in 1 to 1"},
+		"missing flows": {"name: a\nkind: flows\nduration: 5s\nsettings:\n  daemons: 1\n  upstreams: 2\n  slots: 1\npolicies: [{policy: fulmar}]\n", "settings.flows: 0 is not in 1 to"},
+		"bad time":      {"name: a\nkind: flows\nduration: soon\n", "x.yaml:3: "},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			_, err := Parse("x.yaml", []byte(c.text))
+			g.Expect(err).To(MatchError(ErrDeclaration))
+			g.Expect(err.Error()).To(ContainSubstring(c.want))
+		})
+	}
+}
+
+// Guards against declared experiments that no longer load.
+func TestDeclaredExperimentsLoad(t *testing.T) {
+	g := NewWithT(t)
+	files, err := filepath.Glob("../experiments/*.yaml")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(files).NotTo(BeEmpty())
+	for _, file := range files {
+		_, err := Load(file)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+}
+
+// Guards against a report without its seed or one of its files.
+func TestReportFiles(t *testing.T) {
+	g := NewWithT(t)
+	d := parse(g, small+"plots: [imbalance, goodput, frontier]\n")
+	d.Duration = 30 * time.Second
+	d.Policies = d.Policies[:1]
+	dir := t.TempDir()
+	g.Expect(Run(t, d, 3, io.Discard).Write(dir)).To(Succeed())
+	for _, name := range []string{"small.csv", "small-00-wait.hgrm", "small-imbalance-faults.svg", "small-goodput.svg", "small-frontier.svg"} {
+		g.Expect(filepath.Join(dir, name)).To(BeARegularFile())
+	}
+	text, err := os.ReadFile(filepath.Join(dir, "small.txt"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(text)).To(ContainSubstring("seed 3"))
+}
--- /dev/null
+++ b/experiment/plot.go
@@ -0,0 +1,160 @@
+package experiment
+
+import (
+	"fmt"
+	"os"
+	"slices"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	plotWidth  = 16 * vg.Centimeter
+	plotHeight = 10 * vg.Centimeter
+	// plotPoints bounds the points of a line, so that a file stays small.
+	plotPoints = 100
+)
+
+// figure is one plot.
+type figure struct {
+	name, title, x, y string
+	lines             []curve
+	isScatter         bool
+}
+
+// curve is one labelled line of a figure.
+type curve struct {
+	label  string
+	points []Point
+}
+
+// plot draws the declared figures as SVG files. It returns the error of the file system.
+func (r *Report) plot(base string) error {
+	for _, name := range r.Declaration.Plots {
+		var figures []figure
+		switch name {
+		case "imbalance":
+			figures = r.imbalanceFigures()
+		case "goodput":
+			figures = []figure{r.goodputFigure()}
+		case "frontier":
+			figures = []figure{r.frontierFigure()}
+		}
+		for _, f := range figures {
+			if err := f.save(base + "-" + f.name + ".svg"); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (r *Report) imbalanceFigures() []figure {
+	var figures []figure
+	for _, sc := range r.Declaration.Scenarios {
+		f := figure{name: "imbalance-" + sc.Name, title: "Connections, largest over mean: " + sc.Name, x: "time in s", y: "largest over mean"}
+		for _, m := range r.Measures {
+			if m.Scenario == sc.Name {
+				first := slices.IndexFunc(m.imbalance, func(p Point) bool { return p.X >= rampTime.Seconds() })
+				f.lines = append(f.lines, curve{m.Policy, thin(m.imbalance[max(first, 0):])})
+			}
+		}
+		figures = append(figures, f)
+	}
+	return figures
+}
+
+func (r *Report) goodputFigure() figure {
+	f := figure{name: "goodput", title: "Goodput against offered load", x: "offered load over capacity", y: "goodput over capacity"}
+	for _, p := range r.Declaration.Policies {
+		c := curve{label: p.Label}
+		for _, m := range r.Measures {
+			if m.Policy == p.Label && m.Settings.Overload == 0 {
+				c.points = append(c.points, Point{m.Settings.Offered, float64(m.statuses["OK"]) / m.span.Seconds() / m.capacity})
+			}
+		}
+		f.lines = append(f.lines, c)
+	}
+	return f
+}
+
+func (r *Report) frontierFigure() figure {
+	f := figure{name: "frontier", title: r.Declaration.Title, x: "connections ended by the balancer, % of flows",
+		y: "largest over mean, 60 s after the drain", isScatter: true}
+	for _, sc := range r.Declaration.Scenarios {
+		c := curve{label: sc.Name}
+		for _, m := range r.Measures {
+			if m.Scenario == sc.Name {
+				c.points = append(c.points, Point{percent(m.Broken()+m.broken["drain limit"], m.Settings.Flows), m.after60})
+			}
+		}
+		f.lines = append(f.lines, c)
+	}
+	return f
+}
+
+// thin keeps at most plotPoints of the points, evenly.
+func thin(points []Point) []Point {
+	step := len(points)/plotPoints + 1
+	var kept []Point
+	for i := 0; i < len(points); i += step {
+		kept = append(kept, points[i])
+	}
+	return kept
+}
+
+func (f figure) save(file string) error {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = f.title, f.x, f.y
+	p.Legend.Top = true
+	p.Add(plotter.NewGrid())
+	for i, c := range f.lines {
+		xys := make(plotter.XYs, len(c.points))
+		for k, point := range c.points {
+			xys[k] = plotter.XY{X: point.X, Y: point.Y}
+		}
+		if len(xys) == 0 {
+			continue
+		}
+		if err := f.add(p, i, c.label, xys); err != nil {
+			return err
+		}
+	}
+	w, err := p.WriterTo(plotWidth, plotHeight, "svg")
+	if err != nil {
+		return fmt.Errorf("draw %s: %w", file, err)
+	}
+	out, err := os.Create(file)
+	if err != nil {
+		return fmt.Errorf("create plot: %w", err)
+	}
+	if _, err := w.WriteTo(out); err != nil {
+		_ = out.Close()
+		return fmt.Errorf("write plot: %w", err)
+	}
+	return out.Close()
+}
+
+func (f figure) add(p *plot.Plot, i int, label string, xys plotter.XYs) error {
+	if f.isScatter {
+		s, err := plotter.NewScatter(xys)
+		if err != nil {
+			return fmt.Errorf("plot points: %w", err)
+		}
+		s.Color, s.Shape = plotutil.Color(i), plotutil.Shape(i)
+		p.Add(s)
+		p.Legend.Add(label, s)
+		return nil
+	}
+	l, err := plotter.NewLine(xys)
+	if err != nil {
+		return fmt.Errorf("plot line: %w", err)
+	}
+	l.Color, l.Dashes = plotutil.Color(i), plotutil.Dashes(i)
+	p.Add(l)
+	p.Legend.Add(label, l)
+	return nil
+}
--- /dev/null
+++ b/experiment/report.go
@@ -0,0 +1,220 @@
+package experiment
+
+import (
+	"encoding/csv"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Report is the outcome of an experiment.
+type Report struct {
+	Declaration *Declaration
+	Seed        uint64
+	Measures    []*Measures
+	notices     []noticeResult
+}
+
+// column is one figure of the table.
+type column struct {
+	name  string
+	value func(m *Measures) string
+}
+
+func flowColumns() []column {
+	return []column{
+		{"scenario", func(m *Measures) string { return m.Scenario }},
+		{"policy", func(m *Measures) string { return m.Policy }},
+		{"broken", func(m *Measures) string { return fmt.Sprint(m.Broken()) }},
+		{"% of flows", func(m *Measures) string { return fmt.Sprintf("%.2f", percent(m.Broken(), m.Settings.Flows)) }},
+		{"by cause", func(m *Measures) string { return counts(m.broken) }},
+		{"imbalance mean", func(m *Measures) string { return fmt.Sprintf("%.3f", m.meanImbalance) }},
+		{"most", func(m *Measures) string { return fmt.Sprintf("%.3f", m.most) }},
+		{"60 s after drain", func(m *Measures) string { return orDash(m.after60 > 0, "%.3f", m.after60) }},
+		{"diverted %", func(m *Measures) string {
+			return orDash(m.placed > 0, "%.1f", 100*float64(m.diverted)/float64(max(m.placed, 1)))
+		}},
+		{"exceptions %", func(m *Measures) string {
+			return orDash(m.placed > 0, "%.1f", percent(int(m.exceptions), m.flowsAtEnd))
+		}},
+		{"control B/s", func(m *Measures) string { return orDash(m.controlBytes > 0, "%.0f", m.controlBytes) }},
+	}
+}
+
+func requestColumns() []column {
+	seconds := func(m *Measures) float64 { return m.span.Seconds() }
+	return []column{
+		{"scenario", func(m *Measures) string { return m.Scenario }},
+		{"policy", func(m *Measures) string { return m.Policy }},
+		{"offered/s", func(m *Measures) string { return fmt.Sprintf("%.0f", float64(m.offered)/seconds(m)) }},
+		{"goodput/s", func(m *Measures) string { return fmt.Sprintf("%.0f", float64(m.statuses["OK"])/seconds(m)) }},
+		{"of capacity", func(m *Measures) string {
+			return fmt.Sprintf("%.2f", float64(m.statuses["OK"])/seconds(m)/m.capacity)
+		}},
+		{"wait p50 ms", func(m *Measures) string { return ms(m.wait.ValueAtQuantile(50)) }},
+		{"p99 ms", func(m *Measures) string { return ms(m.wait.ValueAtQuantile(99)) }},
+		{"answer p99 ms", func(m *Measures) string { return ms(m.latency.ValueAtQuantile(99)) }},
+		{"work/slots", func(m *Measures) string { return fmt.Sprintf("%.1f", m.mostWork) }},
+		{"recovery s", recovery},
+		{"caller retries", func(m *Measures) string { return fmt.Sprint(m.callerRetries) }},
+		{"not answered", func(m *Measures) string { return failures(m.statuses) }},
+		{"retries", func(m *Measures) string { return counts(m.retries) }},
+		{"control B/s", func(m *Measures) string { return orDash(m.controlBytes > 0, "%.0f", m.controlBytes) }},
+	}
+}
+
+// Broken returns the broken connections, without those that a declared drain limit ended.
+func (m *Measures) Broken() int {
+	sum := 0
+	for cause, n := range m.broken {
+		if cause != "drain limit" {
+			sum += n
+		}
+	}
+	return sum
+}
+
+func percent(n, of int) float64 { return 100 * float64(n) / float64(max(of, 1)) }
+
+func ms(microseconds int64) string { return fmt.Sprintf("%.1f", float64(microseconds)/1000) }
+
+func orDash(ok bool, format string, v float64) string {
+	if !ok {
+		return "-"
+	}
+	return fmt.Sprintf(format, v)
+}
+
+func recovery(m *Measures) string {
+	switch {
+	case m.Settings.Overload == 0:
+		return "-"
+	case m.recovery < 0:
+		return "none"
+	}
+	return fmt.Sprintf("%.0f", m.recovery.Seconds())
+}
+
+func counts[V int | int64](byName map[string]V) string {
+	var parts []string
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		if byName[name] > 0 {
+			parts = append(parts, fmt.Sprintf("%s %d", strings.ToLower(name), byName[name]))
+		}
+	}
+	if len(parts) == 0 {
+		return "-"
+	}
+	return strings.Join(parts, ", ")
+}
+
+func failures(statuses map[string]int) string {
+	rest := maps.Clone(statuses)
+	delete(rest, "OK")
+	return counts(rest)
+}
+
+// rows returns the header and one row for each case.
+func (r *Report) rows() [][]string {
+	if r.notices != nil {
+		return noticeRows(r.notices)
+	}
+	columns := flowColumns()
+	if r.Declaration.Kind == kindRequests {
+		columns = requestColumns()
+	}
+	header := make([]string, len(columns))
+	for i, c := range columns {
+		header[i] = c.name
+	}
+	rows := [][]string{header}
+	for _, m := range r.Measures {
+		row := make([]string, len(columns))
+		for i, c := range columns {
+			row[i] = c.value(m)
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+// Table writes the report as an aligned table with the settings above it. It returns the error
+// of w.
+func (r *Report) Table(w io.Writer) error {
+	d := r.Declaration
+	lines := []string{fmt.Sprintf("%s: %s", d.Name, d.Title), fmt.Sprintf("seed %d, %s simulated, measured from %s", r.Seed, d.Duration, d.Measure)}
+	if d.Kind != kindNotices {
+		lines = append(lines, strings.ReplaceAll(fmt.Sprintf("settings %+v", d.Settings), "{", "{ "))
+	}
+	rows := r.rows()
+	widths := make([]int, len(rows[0]))
+	for _, row := range rows {
+		for i, cell := range row {
+			widths[i] = max(widths[i], len(cell))
+		}
+	}
+	for n, row := range rows {
+		lines = append(lines, line(row, widths))
+		if n == 0 {
+			rule := make([]string, len(row))
+			for i := range rule {
+				rule[i] = strings.Repeat("-", widths[i])
+			}
+			lines = append(lines, line(rule, widths))
+		}
+	}
+	_, err := fmt.Fprintln(w, strings.Join(lines, "\n"))
+	return err
+}
+
+func line(cells []string, widths []int) string {
+	var b strings.Builder
+	for i, cell := range cells {
+		_, _ = fmt.Fprintf(&b, "| %-*s ", widths[i], cell)
+	}
+	return b.String() + "|"
+}
+
+// Write writes table, CSV, percentiles and plots to a directory and returns the error of the
+// file system.
+func (r *Report) Write(dir string) error {
+	if err := os.MkdirAll(dir, 0o750); err != nil {
+		return fmt.Errorf("create report directory: %w", err)
+	}
+	base := filepath.Join(dir, r.Declaration.Name)
+	write := func(suffix string, f func(w io.Writer) error) error {
+		file, err := os.Create(base + suffix)
+		if err != nil {
+			return fmt.Errorf("create report: %w", err)
+		}
+		if err := f(file); err != nil {
+			_ = file.Close()
+			return fmt.Errorf("write report: %w", err)
+		}
+		return file.Close()
+	}
+	if err := write(".txt", r.Table); err != nil {
+		return err
+	}
+	if err := write(".csv", func(w io.Writer) error { return csv.NewWriter(w).WriteAll(r.rows()) }); err != nil {
+		return err
+	}
+	for i, m := range r.Measures {
+		if !m.hasRequests {
+			continue
+		}
+		err := write(fmt.Sprintf("-%02d-wait.hgrm", i), func(w io.Writer) error {
+			_, err := m.wait.PercentilesPrint(w, 1, float64(time.Millisecond/time.Microsecond))
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return r.plot(base)
+}
