--- a/internal/clustertest/cluster.go
+++ b/internal/clustertest/cluster.go
@@ -225,6 +225,23 @@
 	return active
 }
 
+// IsSettled reports whether each resource is served by exactly one daemon.
+func (c *Cluster) IsSettled() bool {
+	daemons := c.Daemons()
+	for _, r := range c.Resources {
+		holders := 0
+		for _, d := range daemons {
+			if d.Keeper.Serves(r) {
+				holders++
+			}
+		}
+		if holders != 1 {
+			return false
+		}
+	}
+	return true
+}
+
 // Unsettled returns the resources that are not served by exactly one daemon.
 func (c *Cluster) Unsettled() []ownership.Resource {
 	var list []ownership.Resource
--- /dev/null
+++ b/internal/clustertest/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package clustertest_test
+
+const raceEnabled = true
