Let back-off and deadline bound follow the service time of now

Cause: an upstream that once took 3 s had all later requests with 1 s deadlines refused for ever, since only answers update the service time (TestServiceTimeOfThePast: 0 of 40 answered). A refusal held an upstream back for 100 ms, twice the service time of the test. Change: the service time of an idle upstream is in doubt after 1 s, and the next one replaces it; the first back-off is the service time divided by the slots. Figures: TestServiceTimeOfThePast passes with more than 30 of 40.

--- a/load/tracker.go
+++ b/load/tracker.go
@@ -24,10 +24,16 @@
 	// sheddingMin keeps the state from changing at each refusal.
 	sheddingMin = time.Second
 
-	firstBackoff = 100 * time.Millisecond
-	maxBackoff   = 5 * time.Second
+	// unknownBackoff is the first back-off until a service time was measured.
+	unknownBackoff = 100 * time.Millisecond
+	minBackoff     = 10 * time.Millisecond
+	maxBackoff     = 5 * time.Second
+	// maxDoublings keeps the shift below an overflow; the back-off is at its limit by then.
+	maxDoublings = 9
 	// ewmaWeight gives the last ten service times most of the weight.
 	ewmaWeight = 0.2
+	// measureLife is the age at which the service time of an idle upstream is in doubt.
+	measureLife = time.Second
 
 	// stuckAfter is the number of time-outs without an answer in between after which an
 	// upstream that still acknowledges probes counts as silent.
@@ -43,6 +49,7 @@
 	inProgress int
 	declared   bool // draining by the configuration
 	service    time.Duration
+	measured   time.Time // of the last service time
 
 	heard   time.Time
 	waiting time.Time // since when work waits without a packet from the upstream
@@ -83,12 +90,12 @@
 // Finished counts an answered request and measures its service time.
 func (t *Tracker) Finished(now time.Time, took time.Duration) {
 	t.Abandoned()
-	if t.service == 0 {
+	if t.service == 0 || now.Sub(t.measured) > measureLife+took {
 		t.service = took
 	} else {
 		t.service += time.Duration(ewmaWeight * float64(took-t.service))
 	}
-	t.refusals = 0
+	t.refusals, t.measured = 0, now
 	t.answered(now)
 	if t.shedding && now.Sub(t.lastRefusal) >= sheddingMin {
 		t.shedding = false
@@ -141,11 +148,20 @@
 func (t *Tracker) Refused(now time.Time, jitter float64) {
 	t.Abandoned()
 	t.shedding, t.lastRefusal = true, now
-	wait := min(firstBackoff<<min(t.refusals, 6), maxBackoff)
+	wait := min(t.firstBackoff()<<min(t.refusals, maxDoublings), maxBackoff)
 	t.refusals++
 	t.heldUntil = now.Add(time.Duration(float64(wait) * (0.5 + jitter)))
 }
 
+// firstBackoff is the time in which a slot becomes free on average. With a fixed 100 ms,
+// upstreams of 50 ms that refused a tenth of the requests did 72 % of their work instead of 91 %.
+func (t *Tracker) firstBackoff() time.Duration {
+	if t.service == 0 {
+		return unknownBackoff
+	}
+	return max(t.service/time.Duration(t.slots), minBackoff)
+}
+
 func (t *Tracker) warmUp(now time.Time) { t.cold, t.coldSince = true, now }
 
 // settle lets states end that end by time, and detects silence.
@@ -224,8 +240,15 @@
 	return held + t.service*time.Duration(queued+1)/time.Duration(max(usable, 1))
 }
 
-// ServiceTime returns the moving average of the service time, 0 when none was measured.
-func (t *Tracker) ServiceTime() time.Duration { return t.service }
+// ServiceTime returns the moving average of the service time. It is 0 when none was measured,
+// or when the last one is old and nothing is in progress: refusing by it would keep the upstream
+// from being measured again.
+func (t *Tracker) ServiceTime(now time.Time) time.Duration {
+	if t.inProgress == 0 && now.Sub(t.measured) > measureLife {
+		return 0
+	}
+	return t.service
+}
 
 // InProgress returns the requests sent and not ended.
 func (t *Tracker) InProgress() int { return t.inProgress }
--- a/request/dispatch.go
+++ b/request/dispatch.go
@@ -24,7 +24,7 @@
 	case len(a.queue) >= limit:
 		a.refuse(t, r, pb.Reason_REASON_QUEUE_FULL, now)
 		return
-	case !a.isInTime(r, now.Add(wait)):
+	case !a.isInTime(r, now.Add(wait), now):
 		a.refuse(t, r, pb.Reason_REASON_DEADLINE, now)
 		return
 	case len(a.queue) > 0 && a.spillIfShorter(t, r, wait, now):
@@ -38,11 +38,11 @@
 // measured service time. The finish counts and not the start: in an overload a queue bounded
 // by the start fills until every request starts just before its deadline, and none is answered
 // in time.
-func (a *admission) isInTime(r *record, start time.Time) bool {
+func (a *admission) isInTime(r *record, start, now time.Time) bool {
 	if a.engine.options.Tuning.NoQueueDeadline {
 		return true
 	}
-	return start.Add(a.tracker.ServiceTime()).Before(r.deadline)
+	return start.Add(a.tracker.ServiceTime(now)).Before(r.deadline)
 }
 
 // refuse ends a request that was not sent; an idempotent one may go to another upstream.
@@ -59,7 +59,7 @@
 		r := a.queue[0]
 		a.queue[0] = nil
 		a.queue = a.queue[1:]
-		if !a.isInTime(r, now) {
+		if !a.isInTime(r, now, now) {
 			a.finish(r, pb.Status_STATUS_NOT_RUN, pb.Reason_REASON_DEADLINE)
 			continue
 		}
--- a/request/health_test.go
+++ b/request/health_test.go
@@ -84,6 +84,26 @@
 	})
 }
 
+// Guards against refusing everything for ever because the service time was long once.
+func TestServiceTimeOfThePast(t *testing.T) {
+	simulate(t, 1, request.Tuning{}, func(w *world) {
+		u := w.upstreams[1]
+		u.service = 3 * time.Second
+		f := w.flow(1)
+		w.g.Expect(statuses(w.askMany(f, 2, false, 10*time.Second))).To(Equal(map[pb.Status]int{ok: 2}))
+		u.set(func() { u.service = 50 * time.Millisecond })
+		time.Sleep(2 * time.Second)
+		good := 0
+		for range 40 {
+			if (<-w.ask(f, "x", false, time.Second)).Status == ok {
+				good++
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+		w.g.Expect(good).To(BeNumerically(">", 30))
+	})
+}
+
 // Guards against half-open flows that hang, and against resetting an idle flow or one whose
 // request only takes long.
 func TestHalfOpenFlow(t *testing.T) {
--- a/request/retry.go
+++ b/request/retry.go
@@ -24,7 +24,7 @@
 	case !a.active:
 		a.finish(r, pb.Status_STATUS_NOT_RUN, reason)
 	case a.spill(t, r, reason, now):
-	case !a.isInTime(r, now):
+	case !a.isInTime(r, now, now):
 		a.finish(r, pb.Status_STATUS_NOT_RUN, pb.Reason_REASON_DEADLINE)
 	case !a.takeRetry():
 		a.finish(r, pb.Status_STATUS_NOT_RUN, pb.Reason_REASON_RETRY_BUDGET)
@@ -46,8 +46,8 @@
 	if !r.idempotent || r.spilled {
 		return false
 	}
-	other, otherWait := a.shortest(t)
-	if other.upstream == nil || 2*otherWait >= wait || wait-otherWait <= a.tracker.ServiceTime() {
+	other, otherWait := a.shortest(t, now)
+	if other.upstream == nil || 2*otherWait >= wait || wait-otherWait <= a.tracker.ServiceTime(now) {
 		return false
 	}
 	return a.moveTo(other, r, pb.Reason_REASON_QUEUE_FULL, now)
@@ -58,8 +58,8 @@
 	if !r.idempotent || r.spilled || r.runs > 1 {
 		return false
 	}
-	other, wait := a.shortest(t)
-	if other.upstream == nil || !a.isInTime(r, now.Add(wait)) {
+	other, wait := a.shortest(t, now)
+	if other.upstream == nil || !a.isInTime(r, now.Add(wait), now) {
 		return false
 	}
 	return a.moveTo(other, r, reason, now)
@@ -79,7 +79,7 @@
 }
 
 // shortest returns the other usable upstream of the service with the shortest expected wait.
-func (a *admission) shortest(t target) (best candidate, wait time.Duration) {
+func (a *admission) shortest(t target, now time.Time) (best candidate, wait time.Duration) {
 	for _, u := range t.service.GetUpstreams() {
 		if u.GetNumber() == a.resource.Index || isDraining(u) {
 			continue
@@ -88,7 +88,7 @@
 		if !ok || k.Token == 0 || k.State != pb.UpstreamState_UPSTREAM_STATE_OK {
 			continue
 		}
-		w := k.ExpectedWait(int(u.GetSlots()), a.tracker.ServiceTime())
+		w := k.ExpectedWait(int(u.GetSlots()), a.tracker.ServiceTime(now))
 		if best.upstream == nil || w < wait {
 			best, wait = candidate{upstream: u, known: k}, w
 		}
