--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"net/netip"
-	"sync/atomic"
 
 	"google.golang.org/protobuf/proto"
 
@@ -42,9 +41,6 @@
 	steerer   steerer
 	admitter  admitter
 	counters  *telemetry.Counters
-	// transmissions counts packets to upstreams from a random start, so that the numbers of
-	// two daemons do not meet.
-	transmissions atomic.Uint64
 }
 
 // ingress takes a packet from the fabric.
@@ -212,19 +208,7 @@
 	notify func(n *pb.UpstreamNotice)
 }
 
-// ToUpstream numbers the transmission, so that the upstream can tell a copy that the network
-// made from a packet that was sent again.
-func (o requestOutput) ToUpstream(addr netip.AddrPort, p *pb.Packet) {
-	raw, err := wire.EncodePacket(p)
-	if err != nil {
-		o.d.counters.Drop(decodeReason(err))
-		return
-	}
-	raw = wire.AppendTransmission(raw, o.d.transmissions.Add(1))
-	if err := o.d.conn.Send(addr, raw); err != nil {
-		o.d.counters.Drop("send_failed")
-	}
-}
+func (o requestOutput) ToUpstream(addr netip.AddrPort, p *pb.Packet) { o.d.send(addr, p) }
 
 func (o requestOutput) ToCaller(p *pb.Packet) { o.d.toCaller(p) }
 
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -113,7 +113,6 @@
 		Viewer: late, Counters: o.Counters, Logger: o.Logger,
 	})
 	n.dispatcher = &dispatcher{conn: o.DataConn, config: n.relay, forwarder: n.messenger, counters: o.Counters}
-	n.dispatcher.transmissions.Store(rand.Uint64())
 	n.buildRoles(o)
 	n.messenger.Handle(n.handlePeer)
 	n.membership.Subscribe(func(previous, current *membership.View) { n.ownership.OnViewChange(previous, current) })
--- a/request/dispatch.go
+++ b/request/dispatch.go
@@ -79,7 +79,7 @@
 	if !r.spilled {
 		a.watch(r.key.flow, now)
 	}
-	a.toUpstream(addr, &pb.Packet{
+	a.transmit(addr, r, now, &pb.Packet{
 		Flow:       r.packet.GetFlow(),
 		Kind:       pb.Kind_KIND_REQUEST,
 		RequestId:  r.key.id,
@@ -90,6 +90,7 @@
 		Service:    a.resource.Service,
 		Upstream:   a.resource.Index,
 		Payload:    r.packet.GetPayload(),
+		Standalone: r.spilled,
 	})
 }
 
--- a/request/engine.go
+++ b/request/engine.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 
 	"github.com/rs/zerolog"
 
@@ -70,6 +71,10 @@
 	budgets  map[uint32]*budget
 
 	randMu sync.Mutex
+
+	// transmissions numbers the runs that are asked for, from a random start, so that the
+	// numbers of two daemons do not meet.
+	transmissions atomic.Uint64
 }
 
 var _ ownership.Keeper = (*Engine)(nil)
@@ -85,12 +90,14 @@
 	if o.Rand == nil {
 		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
-	return &Engine{
+	e := &Engine{
 		options:    o,
 		done:       make(chan struct{}),
 		admissions: map[uint32]*admission{},
 		budgets:    map[uint32]*budget{},
 	}
+	e.transmissions.Store(rand.Uint64())
+	return e
 }
 
 // Run blocks until ctx ends and then stops the task of each admission. It may be called once.
--- a/request/record.go
+++ b/request/record.go
@@ -49,6 +49,10 @@
 	since    time.Time // recorded
 	deadline time.Time
 	sent     time.Time
+	// outgoing is the packet of the current run; it is repeated at repeatAt.
+	outgoing *pb.Packet
+	repeatAt time.Time
+	interval time.Duration
 
 	// slot is true while the request occupies a slot, also after it was given up, until
 	// freeAt.
--- a/request/task.go
+++ b/request/task.go
@@ -11,6 +11,8 @@
 	busyTick = 10 * time.Millisecond
 	// idleTick is the interval of an admission without work; only records expire then.
 	idleTick = time.Second
+	// repeatTick is the precision at which requests in progress are sent again.
+	repeatTick = 20 * time.Millisecond
 	// handbackDelay lets the new holder activate before queued requests reach it.
 	handbackDelay = 20 * time.Millisecond
 )
@@ -37,8 +39,14 @@
 			return
 		}
 		isElsewhere := a.isHeldElsewhere()
-		a.locked(func() { a.tick(isElsewhere) })
-		timer.Reset(idleTick)
+		next := idleTick
+		a.locked(func() {
+			a.tick(isElsewhere)
+			if len(a.busy) > 0 {
+				next = repeatTick
+			}
+		})
+		timer.Reset(next)
 	}
 }
 
@@ -66,6 +74,7 @@
 	a.tracker.Declare(int(t.upstream.GetSlots()), isDraining(t.upstream))
 	a.expireQueue(now)
 	a.expireBusy(t, now)
+	a.repeat(t, now)
 	a.probe(t, now)
 	if isElsewhere {
 		a.handBack(now)
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -152,7 +152,7 @@
 	case pb.Kind_KIND_CANCEL:
 		u.cancel(key, p.GetRequestId())
 	case pb.Kind_KIND_REQUEST, pb.Kind_KIND_KEEPALIVE, pb.Kind_KIND_DATA:
-		if !known {
+		if !known && !p.GetStandalone() {
 			u.refuseFlow(p, pb.Reason_REASON_UNKNOWN_FLOW)
 			return
 		}
@@ -195,8 +195,8 @@
 func (u *Upstream) established(p *pb.Packet, key wire.FlowKey) {
 	switch p.GetKind() {
 	case pb.Kind_KIND_REQUEST:
-		if u.transmissions.isCopy(p.GetTransmission()) {
-			u.counters.Drop("copy")
+		if w := u.transmissions.find(p.GetTransmission()); w != nil {
+			u.repeated(w)
 			return
 		}
 		u.request(p, key)
--- a/standin/upstream/work.go
+++ b/standin/upstream/work.go
@@ -14,6 +14,8 @@
 	deadline time.Time // zero for none
 	late     bool      // the deadline comes before the end of the service time
 	timer    *time.Timer
+	// sendAgain repeats the answer; nil until there is one.
+	sendAgain func()
 }
 
 type runKey struct {
@@ -30,6 +32,7 @@
 // that a balancer sends again: at most once is the balancer's task, and a second run must show.
 func (u *Upstream) request(p *pb.Packet, key wire.FlowKey) {
 	w := &work{packet: p, key: runKey{flow: key, id: p.GetRequestId()}}
+	u.transmissions.add(p.GetTransmission(), w)
 	if ms := p.GetDeadlineMs(); ms > 0 {
 		w.deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
 	}
@@ -51,9 +54,21 @@
 	u.counters.Refusal(reason)
 	a := reply(w.packet, pb.Kind_KIND_ANSWER)
 	a.Status, a.Reason, a.Parts = status, reason, 1
+	w.sendAgain = func() { u.send(a) }
 	u.send(a)
 }
 
+// repeated answers a datagram that was received before: with the same answer if there is one.
+func (u *Upstream) repeated(w *work) {
+	u.counters.Count("repeated")
+	if f := u.flows[w.key.flow]; f != nil && f.muted {
+		return
+	}
+	if w.sendAgain != nil {
+		w.sendAgain()
+	}
+}
+
 func (u *Upstream) start(w *work) {
 	r := u.runs[w.key]
 	if r == nil {
@@ -98,6 +113,7 @@
 }
 
 func (u *Upstream) answer(w *work) {
+	w.sendAgain = func() { u.answer(w) }
 	u.counters.Count("answered")
 	parts := split(Answer(w.key.flow, w.key.id, w.packet.GetPayload()))
 	for i, part := range parts {
--- a/test/testcluster/cluster.go
+++ b/test/testcluster/cluster.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
@@ -323,7 +324,7 @@
 		Clients: func(v membership.Viewer) daemon.Clients {
 			return &clients{cluster: c, self: address, viewer: v}
 		},
-		Counters: telemetry.NewCounters(), Logger: log, Seed: c.options.Seed,
+		Counters: telemetry.NewCounters(), Logger: log, Seed: c.options.Seed + xxhash.Sum64String(name),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{Node: node, Member: member, alive: true, inUse: true, cancel: cancel}
--- a/wire/packet.go
+++ b/wire/packet.go
@@ -29,8 +29,6 @@
 	fieldService  = 8
 	fieldUpstream = 9
 
-	fieldTransmission = 16
-
 	fieldCallerIP    = 1
 	fieldCallerPort  = 2
 	fieldServiceIP   = 3
@@ -162,12 +160,6 @@
 	return protowire.AppendVarint(raw, uint64(upstream))
 }
 
-// AppendTransmission appends the transmission number to a serialized Packet.
-func AppendTransmission(raw []byte, transmission uint64) []byte {
-	raw = protowire.AppendTag(raw, fieldTransmission, protowire.Fixed64Type)
-	return protowire.AppendFixed64(raw, transmission)
-}
-
 // DecodePacket decodes a whole packet. It returns the errors of ParseHeader.
 func DecodePacket(raw []byte) (*pb.Packet, error) {
 	if _, err := ParseHeader(raw); err != nil {
