Give each run of a request a number of its own

Cause: the property test found a non-idempotent request that was answered 'not run' and had run: the number of a run counted from the caller's attempt, so after a transfer the new holder's first run had the number of the former holder's refused run, and a copy of that refusal ended it. Change: a run has a random number, sent as the attempt on the last hop and echoed by the upstream; a refusal must name the current run. TestRefusalOfFormerHoldersRun fails without the change: the request runs twice. Conclusion: upstreams must echo the attempt of a request that they refuse.

--- a/request/answer.go
+++ b/request/answer.go
@@ -71,13 +71,14 @@
 	a.dispatch(t, now)
 }
 
-// isRun reports whether an answer belongs to the current run of a request. Without this, a
-// duplicated refusal of an earlier run would end a later run that has started.
+// isRun reports whether an answer belongs to the current run of a request. A refusal must name
+// the run: otherwise a copy of the refusal of an earlier run would end a run that has started.
+// Any other answer can only be that of the current run, since an earlier one was refused.
 func (r *record) isRun(p *pb.Packet) bool {
-	if r.state == remote {
-		return true
+	if !r.slot {
+		return false
 	}
-	return r.slot && (p.GetAttempt() == r.attempt || (p.GetAttempt() == 0 && r.runs == 1))
+	return p.GetStatus() != pb.Status_STATUS_NOT_RUN || r.state == remote || p.GetAttempt() == r.run
 }
 
 // complete passes a whole answer on and records it.
--- a/request/bench_test.go
+++ b/request/bench_test.go
@@ -87,7 +87,7 @@
 		id++
 		e.HandleCaller(&pb.Packet{Flow: key, Kind: pb.Kind_KIND_REQUEST, RequestId: id, Attempt: 1, Service: 1, Upstream: 1,
 			DeadlineMs: 1000, GuardToken: out.token.Load(), Payload: payload})
-		e.HandleUpstream(&pb.Packet{Flow: key, Kind: pb.Kind_KIND_ANSWER, RequestId: id, Attempt: 1, Service: 1, Upstream: 1,
+		e.HandleUpstream(&pb.Packet{Flow: key, Kind: pb.Kind_KIND_ANSWER, RequestId: id, Service: 1, Upstream: 1,
 			Status: pb.Status_STATUS_OK, Parts: 1, Payload: payload})
 	}
 	if e.Status(1).GetInProgress() != 0 {
--- a/request/dispatch.go
+++ b/request/dispatch.go
@@ -69,10 +69,8 @@
 
 // start records the request as running and sends it to the upstream.
 func (a *admission) start(addr netip.AddrPort, r *record, now time.Time) {
-	if r.runs > 0 {
-		r.attempt++
-	}
 	r.runs++
+	r.run = a.engine.newRun()
 	r.state, r.sent, r.slot, r.freeAt = running, now, true, time.Time{}
 	a.busy[r.key] = r
 	a.tracker.Started(now)
@@ -83,7 +81,7 @@
 		Flow:       r.packet.GetFlow(),
 		Kind:       pb.Kind_KIND_REQUEST,
 		RequestId:  r.key.id,
-		Attempt:    r.attempt,
+		Attempt:    r.run,
 		Idempotent: r.idempotent,
 		DeadlineMs: milliseconds(r.deadline.Sub(now)),
 		GuardToken: a.token,
@@ -93,6 +91,11 @@
 	})
 }
 
+// newRun returns a random number for a run that is not 0. Numbers that count from the caller's
+// attempt would repeat at a new holder, which would take a refusal of the former holder's run
+// for one of its own.
+func (e *Engine) newRun() uint32 { return uint32(e.random())>>1 + 1 }
+
 // milliseconds rounds up to at least 1, since 0 means no deadline.
 func milliseconds(d time.Duration) uint32 {
 	return uint32(max((d+time.Millisecond-1)/time.Millisecond, 1))
@@ -113,7 +116,7 @@
 
 func (a *admission) cancelAtUpstream(addr netip.AddrPort, r *record) {
 	p := a.packet(r.key.flow, pb.Kind_KIND_CANCEL)
-	p.RequestId, p.Attempt = r.key.id, r.attempt
+	p.RequestId, p.Attempt = r.key.id, r.run
 	a.toUpstream(addr, p)
 }
 
--- a/request/guard_test.go
+++ b/request/guard_test.go
@@ -214,6 +214,28 @@
 	})
 }
 
+// Guards against the same at a new holder: the refusal of a run by the former holder arrives
+// while the new holder's run, which also is its first, is in progress.
+func TestRefusalOfFormerHoldersRun(t *testing.T) {
+	simulate(t, 1, request.Tuning{}, func(w *world) {
+		u := w.upstreams[1]
+		n := 0
+		u.refuse = func() bool { n++; return n == 1 }
+		u.service = time.Second
+		f := w.flow(1)
+		c := w.ask(f, "order", false, 5*time.Second)
+		time.Sleep(10 * time.Millisecond)
+		w.transfer(1, "b")
+		time.Sleep(500 * time.Millisecond)
+		w.g.Expect(u.ran(f.Key(), "order")).To(Equal(1))
+		p := w.sent(1, "order")
+		p.Kind, p.Status = pb.Kind_KIND_ANSWER, notRun
+		w.holder(1).HandleUpstream(p)
+		w.g.Expect((<-c).Status).To(Equal(ok))
+		w.g.Expect(u.ran(f.Key(), "order")).To(Equal(1))
+	})
+}
+
 // Guards against a false 'not run' for an idempotent request that a lost holder ran: the new
 // holder sees a later transmission with its own token and has to refuse it.
 func TestRefusalAfterOwnerDeath(t *testing.T) {
--- a/request/record.go
+++ b/request/record.go
@@ -42,9 +42,11 @@
 	mayHaveRun bool
 	// packet is the caller's packet until the request is finished.
 	packet *pb.Packet
-	// attempt numbers the runs; an answer to an earlier run is late.
+	// attempt is the caller's transmission that was admitted.
 	attempt uint32
-	runs    int
+	// run identifies the current run to the upstream, which echoes it as the attempt.
+	run  uint32
+	runs int
 
 	since    time.Time // recorded
 	deadline time.Time
