Cancel requests and check every refusal in the property test

Cause: the property test checked only what callers still waited for, and never cancelled. Change: random cancellation, answers of up to three parts, and a check of every 'not run' that was sent for a non-idempotent request against the upstreams' runs.

--- a/request/guard_test.go
+++ b/request/guard_test.go
@@ -24,11 +24,13 @@
 		u := w.upstreams[1]
 		u.service = 2 * time.Second
 		f := w.flow(1)
-		r := <-w.ask(f, "order", false, 5*time.Second)
-		w.g.Expect(r.Status).To(Equal(ok))
-		w.g.Expect(string(r.Payload)).To(Equal("done order"))
-		w.g.Expect(r.Attempts).To(BeNumerically(">", 2))
-		w.g.Expect(u.ran(f.Key(), "order")).To(Equal(1))
+		for name, isIdempotent := range map[string]bool{"order": false, "read": true} {
+			r := <-w.ask(f, name, isIdempotent, 5*time.Second)
+			w.g.Expect(r.Status).To(Equal(ok))
+			w.g.Expect(string(r.Payload)).To(Equal("done " + name))
+			w.g.Expect(r.Attempts).To(BeNumerically(">", 2))
+			w.g.Expect(u.ran(f.Key(), name)).To(Equal(1))
+		}
 		w.g.Expect(w.engines["a"].counters.Get("drop.duplicate_in_progress")).To(BeNumerically(">", 1))
 	})
 }
--- a/request/property_test.go
+++ b/request/property_test.go
@@ -10,10 +10,12 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
 	"github.com/fulmarfield/fulmarfield/caller"
 	"github.com/fulmarfield/fulmarfield/membership"
 	"github.com/fulmarfield/fulmarfield/ownership"
 	"github.com/fulmarfield/fulmarfield/request"
+	"github.com/fulmarfield/fulmarfield/wire"
 )
 
 // event is a change of holder during a trial.
@@ -31,6 +33,7 @@
 	Loss, Copy float64
 	Delay      time.Duration
 	Refuse     float64
+	Cancel     float64
 	Requests   int
 	Events     []event
 }
@@ -45,6 +48,7 @@
 		Copy:     rapid.Float64Range(0, 0.3).Draw(t, "copy"),
 		Delay:    ms("delay", 0, 200),
 		Refuse:   rapid.Float64Range(0, 0.5).Draw(t, "refuse"),
+		Cancel:   rapid.Float64Range(0, 0.3).Draw(t, "cancel"),
 		Requests: rapid.IntRange(5, 40).Draw(t, "requests"),
 	}
 	for range rapid.IntRange(0, 6).Draw(t, "events") {
@@ -89,7 +93,10 @@
 	}
 	w.mu.Unlock()
 	for _, u := range w.upstreams {
-		u.set(func() { u.refuse = func() bool { return w.chance(tr.Refuse) } })
+		u.set(func() {
+			u.refuse = func() bool { return w.chance(tr.Refuse) }
+			u.parts = int(tr.Seed%3) + 1
+		})
 	}
 	type asked struct {
 		flow       *caller.Flow
@@ -108,7 +115,7 @@
 	}()
 	for i := range tr.Requests {
 		a := asked{flow: flows[i%4], name: fmt.Sprint(i), idempotent: w.chance(0.4)}
-		a.answer = w.ask(a.flow, a.name, a.idempotent, time.Duration(300+100*(i%20))*time.Millisecond)
+		a.answer = w.askUntil(w.chance(tr.Cancel), a.flow, a.name, a.idempotent, time.Duration(300+100*(i%20))*time.Millisecond)
 		list = append(list, a)
 		time.Sleep(time.Duration(float64(80*time.Millisecond) * w.float()))
 	}
@@ -118,8 +125,8 @@
 		results[i] = <-a.answer
 	}
 	time.Sleep(3 * time.Second)
+	faults := w.refusedAndRan()
 	w.replay()
-	var faults []string
 	for i, a := range list {
 		runs, r := 0, results[i]
 		for _, u := range w.upstreams {
@@ -138,6 +145,31 @@
 	return faults
 }
 
+// refusedAndRan checks every refusal that went to a caller, also those that it no longer
+// waited for, against the runs of non-idempotent requests.
+func (w *world) refusedAndRan() (faults []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	type key struct {
+		flow wire.FlowKey
+		id   uint64
+	}
+	refused := map[key]pb.Reason{}
+	for _, p := range w.toCaller {
+		if p.GetStatus() == notRun {
+			refused[key{wire.FlowKeyFromProto(p.GetFlow()), p.GetRequestId()}] = p.GetReason()
+		}
+	}
+	for _, p := range w.requests {
+		k := wire.FlowKeyFromProto(p.GetFlow())
+		reason, isRefused := refused[key{k, p.GetRequestId()}]
+		if isRefused && !p.GetIdempotent() && w.upstreams[w.flows[k]].ran(k, string(p.GetPayload())) > 0 {
+			faults = append(faults, fmt.Sprintf("request %s ran, but a refusal was sent: %s", p.GetPayload(), reason))
+		}
+	}
+	return faults
+}
+
 // replay sends every packet that a caller ever sent once more, long after it was answered.
 func (w *world) replay() {
 	w.mu.Lock()
--- a/request/world_test.go
+++ b/request/world_test.go
@@ -316,10 +316,20 @@
 
 // ask starts a request whose payload names it, and returns a channel with its answer.
 func (w *world) ask(f *caller.Flow, name string, idempotent bool, deadline time.Duration) chan result {
+	return w.askUntil(false, f, name, idempotent, deadline)
+}
+
+// askUntil is ask with a cancellation at a random time before the deadline.
+func (w *world) askUntil(isCancelled bool, f *caller.Flow, name string, idempotent bool, deadline time.Duration) chan result {
 	c := make(chan result, 1)
 	start := time.Now()
+	ctx, cancel := context.WithCancel(context.Background())
+	if isCancelled {
+		time.AfterFunc(time.Duration(w.float()*float64(deadline)), cancel)
+	}
 	go func() {
-		a, err := f.Request(context.Background(), caller.Request{Payload: []byte(name), Idempotent: idempotent, Deadline: deadline})
+		defer cancel()
+		a, err := f.Request(ctx, caller.Request{Payload: []byte(name), Idempotent: idempotent, Deadline: deadline})
 		c <- result{Answer: a, err: err, at: time.Since(start), flow: f.Key()}
 	}()
 	return c
