--- a/request/upstream_test.go
+++ b/request/upstream_test.go
@@ -35,11 +35,16 @@
 	reorder bool
 	drop    int // part that is never sent, from 1
 	seen    []*pb.Packet
+	// numbers holds the transmission numbers that were received, with what repeats the answer.
+	numbers map[uint64]func()
 }
 
 func (u *fakeUpstream) receive(p *pb.Packet) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if u.isRepeated(p) {
+		return
+	}
 	u.seen = append(u.seen, p)
 	k := wire.FlowKeyFromProto(p.GetFlow())
 	if u.silent || u.mute[k] {
@@ -56,8 +61,31 @@
 	}
 }
 
+// isRepeated answers a datagram again that was received before, as the receiving end of the
+// packet protocol does. A request under a new number runs.
+func (u *fakeUpstream) isRepeated(p *pb.Packet) bool {
+	n := p.GetTransmission()
+	if p.GetKind() != pb.Kind_KIND_REQUEST || n == 0 {
+		return false
+	}
+	again, known := u.numbers[n]
+	if u.numbers == nil {
+		u.numbers = map[uint64]func(){}
+	}
+	if !known {
+		u.numbers[n] = nil
+	}
+	if again != nil && !u.silent && !u.mute[wire.FlowKeyFromProto(p.GetFlow())] {
+		again()
+	}
+	return known
+}
+
 func (u *fakeUpstream) run(p *pb.Packet, k runKey) {
 	if u.refuse != nil && u.refuse() {
+		u.numbers[p.GetTransmission()] = func() {
+			u.reply(p, &pb.Packet{Kind: pb.Kind_KIND_ANSWER, Status: pb.Status_STATUS_NOT_RUN, Reason: pb.Reason_REASON_UPSTREAM_SHED})
+		}
 		u.reply(p, &pb.Packet{Kind: pb.Kind_KIND_ANSWER, Status: pb.Status_STATUS_NOT_RUN, Reason: pb.Reason_REASON_UPSTREAM_SHED})
 		return
 	}
@@ -82,6 +110,7 @@
 }
 
 func (u *fakeUpstream) answer(p *pb.Packet, name string) {
+	u.numbers[p.GetTransmission()] = func() { u.answer(p, name) }
 	parts := max(u.parts, 1)
 	for i := range parts {
 		n := i
