Test configuration changes and the zone of admissions

Cause: no test removed a resource or asserted the preferred zone. Change: tests of a removal, a removal during a claim, an unchanged resource, and of admissions that stay in their zone until all its daemons are lost. Conclusion: no fault was found.

--- a/internal/clustertest/fault_test.go
+++ b/internal/clustertest/fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -266,3 +267,27 @@
 		g.Expect(time.Since(first)).To(BeNumerically("<=", 100*time.Millisecond))
 	})
 }
+
+// Guards against an admission that is held outside the upstream's zone while a daemon of the
+// zone lives, or that has no holder when the whole zone is lost.
+func TestAdmissionPrefersZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := clustertest.New(1)
+		c.Resources = clustertest.Partitions(0, 12)
+		c.Zone = func(ownership.Resource) string { return "z1" }
+		defer c.StopAll()
+		daemons := start(c, 6)
+		waitSettled(t, c, 2*time.Second)
+		time.Sleep(3 * time.Second)
+		for _, r := range c.Resources {
+			g.Expect(c.Active(r)[0].Self.Zone).To(Equal("z1"))
+		}
+		for _, d := range daemons {
+			if d.Self.Zone == "z1" {
+				d.Kill()
+			}
+		}
+		waitSettled(t, c, 5*time.Second)
+	})
+}
--- a/ownership/bench_test.go
+++ b/ownership/bench_test.go
@@ -45,6 +45,8 @@
 	serving  bool
 	settled  atomic.Bool
 	claimers []membership.DaemonID
+	// configured are the resources of the configuration.
+	configured []ownership.Resource
 }
 
 func (b *bench) View() *membership.View { return b.view.Load() }
@@ -129,11 +131,12 @@
 			claim: func(membership.DaemonID) *pb.ClaimResult { return &pb.ClaimResult{Outcome: notHeld} },
 			offer: func(membership.DaemonID, *pb.OfferRequest) (*pb.OfferResponse, error) { return nil, errLost },
 		}
+		b.configured = []ownership.Resource{resource}
 		b.setView(alive, nil)
 		b.Ownership = ownership.New(ownership.Options{
 			Self: "self", Viewer: b, Clients: b, Counters: telemetry.NewCounters(),
 			Keepers:   map[pb.ResourceKind]ownership.Keeper{pb.ResourceKind_RESOURCE_KIND_ADMISSION: b},
-			Resources: func() []ownership.Resource { return []ownership.Resource{resource} },
+			Resources: func() []ownership.Resource { return b.configured },
 			Settled:   b.settled.Load,
 		})
 		ctx, cancel := context.WithCancel(t.Context())
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -307,3 +307,41 @@
 		g.Expect(b.serves()).To(BeFalse())
 	})
 }
+
+// Guards against a resource that is served after its removal, or not after it was declared.
+func TestConfigurationChange(t *testing.T) {
+	onBench(t, func(g *WithT, b *bench) {
+		b.begin()
+		b.configured = nil
+		b.OnConfigurationChange()
+		g.Expect(b.log()).To(Equal([]string{"fresh", "released"}))
+		_, _, ok := b.Route(resource)
+		g.Expect(ok).To(BeFalse())
+		wait(10 * time.Second)
+		g.Expect(b.serves()).To(BeFalse())
+
+		b.configured = []ownership.Resource{resource}
+		b.OnConfigurationChange()
+		wait(10 * time.Millisecond)
+		_, active, _ := b.Route(resource)
+		g.Expect(active).To(BeTrue())
+		b.OnConfigurationChange()
+		g.Expect(b.log()).To(Equal([]string{"fresh", "released", "fresh"}), "an unchanged resource stays as it is")
+	})
+}
+
+// Guards against an answer to a claim that activates a resource removed meanwhile.
+func TestRemovedDuringClaim(t *testing.T) {
+	onBench(t, func(g *WithT, b *bench) {
+		b.claim = func(membership.DaemonID) *pb.ClaimResult {
+			time.Sleep(500 * time.Millisecond)
+			return &pb.ClaimResult{Outcome: transferred, Records: &pb.ResourceRecords{}}
+		}
+		b.setView(alive, map[membership.DaemonID]pb.MemberState{"b": leaving})
+		b.begin()
+		b.configured = nil
+		b.OnConfigurationChange()
+		wait(2 * time.Second)
+		g.Expect(b.log()).To(BeEmpty())
+	})
+}
