--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -49,7 +49,7 @@
 		wait(100 * time.Millisecond)
 		older := claimBy("b")
 		older.Incarnation = 4
-		for _, request := range []*pb.ClaimRequest{claimBy("stranger"), claimBy("c"), claimBy("self"), older} {
+		for _, request := range []*pb.ClaimRequest{claimBy("unknown"), claimBy("c"), claimBy("self"), older} {
 			_, err := b.HandleClaim(request)
 			g.Expect(err).To(MatchError(ownership.ErrClaimerUnknown))
 		}
@@ -65,7 +65,7 @@
 		b.begin()
 		response, err := b.HandleClaim(claimBy("b"))
 		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(response.GetResults()[0].GetOutcome()).To(Equal(notHeld), "the first claim of its life")
+		g.Expect(response.GetResults()[0].GetOutcome()).To(Equal(notHeld), "the first claim of this daemon")
 		restarted := claimBy("b")
 		restarted.Incarnation = 6
 		response, err = b.HandleClaim(restarted)
@@ -307,3 +307,41 @@
 		g.Expect(b.serves()).To(BeFalse())
 	})
 }
+
+// Guards against a resource that is served after its removal, or not after it was declared.
+func TestConfigurationChange(t *testing.T) {
+	onBench(t, func(g *WithT, b *bench) {
+		b.begin()
+		b.configured = nil
+		b.OnConfigurationChange()
+		g.Expect(b.log()).To(Equal([]string{"fresh", "released"}))
+		_, _, ok := b.Route(resource)
+		g.Expect(ok).To(BeFalse())
+		wait(10 * time.Second)
+		g.Expect(b.serves()).To(BeFalse())
+
+		b.configured = []ownership.Resource{resource}
+		b.OnConfigurationChange()
+		wait(10 * time.Millisecond)
+		_, active, _ := b.Route(resource)
+		g.Expect(active).To(BeTrue())
+		b.OnConfigurationChange()
+		g.Expect(b.log()).To(Equal([]string{"fresh", "released", "fresh"}), "an unchanged resource stays as it is")
+	})
+}
+
+// Guards against an answer to a claim that activates a resource removed meanwhile.
+func TestRemovedDuringClaim(t *testing.T) {
+	onBench(t, func(g *WithT, b *bench) {
+		b.claim = func(membership.DaemonID) *pb.ClaimResult {
+			time.Sleep(500 * time.Millisecond)
+			return &pb.ClaimResult{Outcome: transferred, Records: &pb.ResourceRecords{}}
+		}
+		b.setView(alive, map[membership.DaemonID]pb.MemberState{"b": leaving})
+		b.begin()
+		b.configured = nil
+		b.OnConfigurationChange()
+		wait(2 * time.Second)
+		g.Expect(b.log()).To(BeEmpty())
+	})
+}
