Send the newest exceptions first across partitions

Cause: exceptions of a table change were ordered only within a partition, so that flows in use waited behind silent ones of other partitions. Change: the bulk queue of a successor is a heap by the time of the last packet. Conclusion: the flows in use are replicated first; the new test fails with the order reversed and with the bulk rate removed.

--- a/steering/change.go
+++ b/steering/change.go
@@ -1,12 +1,9 @@
 package steering
 
 import (
-	"slices"
-
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fulmarfield/fulmarfield/config"
-	"github.com/fulmarfield/fulmarfield/wire"
 )
 
 // changed takes a configuration that came into force.
@@ -45,7 +42,7 @@
 
 // tableChanged makes exceptions of the flows whose upstream the new table does not tell, and
 // queues the flows of removed upstreams for a reset. It returns the number of new exceptions.
-func (s *Steerer) tableChanged(p *partition, v *serviceView) int {
+func (s *Steerer) tableChanged(p *partition, v *serviceView) (found int) {
 	now := s.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -54,7 +51,6 @@
 		return 0
 	}
 	p.view = v
-	var found []wire.FlowKey
 	for flow, r := range p.flows {
 		if r.has(flagClosed) {
 			continue
@@ -70,21 +66,9 @@
 			r.flags |= flagException
 			p.flows[flow] = r
 			p.exceptions[flow] = exception{}
-			found = append(found, flow)
+			s.queueBulk(p, flow)
+			found++
 		}
 	}
-	s.queueNewestFirst(p, found)
-	return len(found)
-}
-
-// queueNewestFirst queues exceptions so that those with the latest packet are sent first. The
-// caller holds p.mu.
-func (s *Steerer) queueNewestFirst(p *partition, flows []wire.FlowKey) {
-	// The outbox sends what was queued last first.
-	slices.SortFunc(flows, func(a, b wire.FlowKey) int {
-		return int(int64(p.flows[a].last) - int64(p.flows[b].last))
-	})
-	for _, flow := range flows {
-		s.queueBulk(p, flow)
-	}
+	return found
 }
--- a/steering/pacer.go
+++ b/steering/pacer.go
@@ -28,14 +28,14 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if len(q.resets) < maxResets {
-		q.resets = append(q.resets, item{p, flow})
+		q.resets = append(q.resets, item{partition: p, flow: flow})
 	}
 }
 
 func (q *pacer) addToken(p *partition, flow wire.FlowKey) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.tokens = append(q.tokens, item{p, flow})
+	q.tokens = append(q.tokens, item{partition: p, flow: flow})
 }
 
 // take removes and returns the first of both queues.
--- a/steering/replicate.go
+++ b/steering/replicate.go
@@ -32,7 +32,7 @@
 	delete(p.exceptions, flow) // Not queued at the bulk rate with the others.
 	s.setSuccessor(p, successor)
 	p.exceptions[flow] = exception{queued: true}
-	s.replicator.addUrgent(successor, item{p, flow})
+	s.replicator.addUrgent(successor, item{partition: p, flow: flow})
 	p.mu.Unlock()
 	s.wake()
 }
@@ -44,12 +44,10 @@
 		return
 	}
 	p.successor = successor
-	flows := make([]wire.FlowKey, 0, len(p.exceptions))
 	for flow := range p.exceptions {
 		p.exceptions[flow] = exception{}
-		flows = append(flows, flow)
+		s.queueBulk(p, flow)
 	}
-	s.queueNewestFirst(p, flows)
 }
 
 // queueBulk queues an exception at the bulk rate. Without a successor it is queued when there
@@ -67,7 +65,7 @@
 	}
 	e.queued = true
 	p.exceptions[flow] = e
-	s.replicator.addBulk(p.successor, item{p, flow})
+	s.replicator.addBulk(p.successor, item{p, flow, p.flows[flow].last})
 	s.wake()
 }
 
@@ -79,14 +77,14 @@
 		return
 	}
 	p.exceptions[flow] = exception{queued: true}
-	s.replicator.addUrgent(p.successor, item{p, flow})
+	s.replicator.addUrgent(p.successor, item{partition: p, flow: flow})
 	s.wake()
 }
 
 // tellEnded queues the end of an exception that the successor knows. The caller holds p.mu.
 func (s *Steerer) tellEnded(p *partition, flow wire.FlowKey, tell bool) {
 	if tell && p.successor != "" {
-		s.replicator.addEnded(p.successor, item{p, flow})
+		s.replicator.addEnded(p.successor, item{partition: p, flow: flow})
 		s.wake()
 	}
 }
--- a/steering/replicator.go
+++ b/steering/replicator.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"container/heap"
 	"sync"
 	"time"
 
@@ -52,6 +53,8 @@
 type item struct {
 	partition *partition
 	flow      wire.FlowKey
+	// last is the tick of the flow's last packet when it was queued at the bulk rate.
+	last uint32
 }
 
 type sentItem struct {
@@ -74,7 +77,7 @@
 type outbox struct {
 	urgent      []item
 	urgentSince time.Time
-	bulk        []item
+	bulk        newestFirst
 	ended       []item
 	lastBulk    time.Time
 	inFlight    int
@@ -139,8 +142,7 @@
 func (r *replicator) addBulk(to membership.DaemonID, i item) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	o := r.outbox(to)
-	o.bulk = append(o.bulk, i)
+	heap.Push(&r.outbox(to).bulk, i)
 }
 
 func (r *replicator) addEnded(to membership.DaemonID, i item) {
@@ -172,15 +174,13 @@
 			o.urgent = o.urgent[n:]
 		}
 		for (len(o.bulk) > 0 || len(o.ended) > 0) && o.inFlight < maxBulkInFlight {
-			d, bytes := o.bulkDraft(to)
+			items, ended, bytes := o.bulkSize()
 			if bytes < batchBytes/2 && now.Sub(o.lastBulk) < bulkDelay || !r.allowBulk(now, bytes) {
 				break
 			}
 			o.lastBulk = now
-			o.bulk = o.bulk[:len(o.bulk)-len(d.items)]
-			o.ended = o.ended[len(d.ended):]
 			o.inFlight++
-			drafts = append(drafts, d)
+			drafts = append(drafts, o.takeBulk(to, items, ended))
 		}
 		if len(o.urgent) == 0 && len(o.bulk) == 0 && len(o.ended) == 0 && o.inFlight == 0 {
 			delete(r.outboxes, to)
@@ -189,17 +189,40 @@
 	return drafts
 }
 
-// bulkDraft returns the next bulk batch and its estimated size: the newest exceptions, and the
-// ends of flows where there is room.
-func (o *outbox) bulkDraft(to membership.DaemonID) (draft, int) {
+// bulkSize returns how many exceptions and ends the next bulk batch holds, and its estimated
+// size. Ends go where there is room.
+func (o *outbox) bulkSize() (items, ended, bytes int) {
 	const room = batchBytes - envelopeBytes
-	items := min(len(o.bulk), room/recordBytes)
-	ended := min(len(o.ended), (room-items*recordBytes)/keyBytes)
+	items = min(len(o.bulk), room/recordBytes)
+	ended = min(len(o.ended), (room-items*recordBytes)/keyBytes)
+	return items, ended, envelopeBytes + ended*keyBytes + items*recordBytes
+}
+
+// takeBulk takes the next bulk batch out of the outbox, the newest exceptions first.
+func (o *outbox) takeBulk(to membership.DaemonID, items, ended int) draft {
 	d := draft{to: to, ended: o.ended[:ended:ended]}
-	for i := range items {
-		d.items = append(d.items, o.bulk[len(o.bulk)-1-i])
+	o.ended = o.ended[ended:]
+	for range items {
+		d.items = append(d.items, heap.Pop(&o.bulk).(item))
 	}
-	return d, envelopeBytes + ended*keyBytes + items*recordBytes
+	return d
+}
+
+// newestFirst is a heap of exceptions by their last packet.
+type newestFirst []item
+
+func (h newestFirst) Len() int           { return len(h) }
+func (h newestFirst) Less(i, j int) bool { return h[i].last > h[j].last }
+func (h newestFirst) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *newestFirst) Push(x any) { *h = append(*h, x.(item)) }
+
+// Pop implements heap.Interface.
+func (h *newestFirst) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
 }
 
 // dueRetries takes the batches whose retransmission is due. A bulk batch also needs its share
--- a/steering/state_test.go
+++ b/steering/state_test.go
@@ -125,8 +125,9 @@
 			}
 			time.Sleep(7 * time.Second)
 			c.mu.Lock()
-			g.Expect(bytes).To(BeNumerically("<", exceptionBurst+10*exceptionBytesPerSecond))
+			total := bytes
 			c.mu.Unlock()
+			g.Expect(total).To(BeNumerically("<", exceptionBurst+10*exceptionBytesPerSecond))
 			g.Expect(a.Counters.Get("exception.over_budget")).NotTo(BeZero())
 			largest := uint32(0)
 			for _, n := range a.Stats().ByUpstream {
@@ -264,3 +265,37 @@
 	return &pb.PeerDatagram{Sender: "daemon-0001", Receiver: "daemon-0002", Incarnation: 1, Sequence: 1 << 30,
 		Body: &pb.PeerDatagram_ExceptionBatch{ExceptionBatch: m}}
 }
+
+// Guards against a table change that exceeds 1 KB/s, or that leaves the flows in use for last.
+func TestBulkRateNewestFirst(t *testing.T) {
+	inCluster(t, 3, func(g *WithT, c *cluster, a, b *node) {
+		flows := a.flowsOn(2, 600)
+		for _, i := range flows {
+			a.packet(i, kindOpen, 0)
+		}
+		time.Sleep(time.Second)
+		for _, i := range flows[300:] {
+			a.packet(i, kindData, 0)
+		}
+		bytes := 0
+		c.lose = func(_, _ membership.DaemonID, m *pb.PeerDatagram) bool {
+			if isBatch(m) {
+				bytes += proto.Size(m) + 50 // The envelope.
+			}
+			return false
+		}
+		c.declare(drain(2))
+		time.Sleep(10 * time.Second)
+		c.mu.Lock()
+		total := bytes
+		c.mu.Unlock()
+		g.Expect(total).To(And(BeNumerically("<", batchBytes+10*bulkBytesPerSecond), BeNumerically(">", 8*bulkBytesPerSecond)))
+		for n, i := range flows {
+			if _, known := b.lookup(testService, flowNumber(i)); known {
+				g.Expect(n).To(BeNumerically(">=", 300), "the flows in use come first")
+			}
+		}
+		time.Sleep(20 * time.Second)
+		g.Expect(b.Stats().Replicas).To(BeEquivalentTo(600))
+	})
+}
