Make every form of the operators' language work against daemons

Cause: "show route" was parsed but not evaluated. "show change" looked only at the few change records that daemons pass on. "drain daemon" changed the configuration and no daemon acted on it. An abort of several drains counted several generations, and one that reversed nothing was reported as unchanged.

Change: a route is explained by the daemon's own tables and the records that other daemons report; what only the flow owner knows is "unknown". History and change outcomes are read from the store, else from the daemon, and the answer says which. A daemon that the configuration drains hands over, stays up and is not ready; the last active daemon is not drained. Abort is one change, covers daemons, and is refused when there is nothing to reverse. Faults of a line name the column and what is allowed. A script is checked as a whole before its first line runs, and each line has its own change id. Queries, commands and declarations of the operator service are in files of their own.

Conclusion: membership and ownership have no way back from a leave within one process, so an undrained daemon stays not ready and logs that it must be restarted.

--- a/client/program.go
+++ b/client/program.go
@@ -1,7 +1,6 @@
 package client
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -15,6 +14,7 @@
 
 	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
 	"github.com/fulmarfield/fulmarfield/config/declaration"
+	"github.com/fulmarfield/fulmarfield/query"
 )
 
 // Exit statuses of the client.
@@ -60,6 +60,8 @@
 	printer Printer
 	in      io.Reader
 	errOut  io.Writer
+	// lines counts the lines of the prompt.
+	lines int
 }
 
 // Main runs the client and returns its exit status.
@@ -219,42 +221,22 @@
 	}
 }
 
+// line runs one line of the language with the change id of the flags or a random one.
 func (p *Program) line(ctx context.Context, line string) int {
-	id := p.changeID()
+	return p.lineWithID(ctx, line, p.changeID())
+}
+
+func (p *Program) lineWithID(ctx context.Context, line, id string) int {
 	r, err := p.client.Run(ctx, line, id, p.flags.Wait)
 	if err != nil {
+		if query.IsQuery(line) {
+			id = ""
+		}
 		return p.noAnswer(err, id)
 	}
 	p.printer.Run(r)
-	if r.GetOutcome() != pb.Outcome_OUTCOME_UNSPECIFIED {
+	if r.GetOutcome() != pb.Outcome_OUTCOME_UNSPECIFIED && len(r.GetErrors()) == 0 {
 		return exitOfOutcome(r.GetOutcome())
 	}
 	return exitOfErrors(r.GetErrors())
 }
-
-// script runs a file of lines and stops at the first that does not succeed.
-func (p *Program) script(ctx context.Context, args []string) int {
-	if len(args) != 1 {
-		return p.usageError("run needs one file")
-	}
-	f, err := os.Open(args[0])
-	if err != nil {
-		return p.usageError(err.Error())
-	}
-	defer func() { _ = f.Close() }() // read only
-	scanner := bufio.NewScanner(f)
-	for n := 1; scanner.Scan(); n++ {
-		line := strings.TrimSpace(scanner.Text())
-		if line == "" || strings.HasPrefix(line, "#") {
-			continue
-		}
-		if status := p.line(ctx, line); status != ExitOK {
-			p.complain("%s:%d: stopped at %q\n", args[0], n, line)
-			return status
-		}
-	}
-	if err := scanner.Err(); err != nil {
-		return p.usageError(err.Error())
-	}
-	return ExitOK
-}
--- a/client/prompt.go
+++ b/client/prompt.go
@@ -7,9 +7,6 @@
 	"strings"
 
 	"golang.org/x/term"
-
-	"github.com/fulmarfield/fulmarfield/command"
-	"github.com/fulmarfield/fulmarfield/query"
 )
 
 const promptText = "fulmar> "
@@ -59,9 +56,9 @@
 	case "exit", "quit":
 		return false
 	case "help":
-		p.printer.printf("%s\n", strings.Join(append(append([]string{}, query.Forms...), command.Forms...), "\n"))
+		p.printer.printf("%s\n", strings.Join(forms(), "\n"))
 	default:
-		p.line(ctx, line)
+		p.lineWithID(ctx, line, p.numberedID())
 	}
 	return true
 }
@@ -73,37 +70,3 @@
 	completed := Complete(line)
 	return completed, len(completed), true
 }
-
-// Complete extends a line to the longest beginning that all forms of the language that start
-// with it share; words in capitals stand for names and are not completed.
-func Complete(line string) string {
-	var matches []string
-	for _, form := range append(append([]string{}, query.Forms...), command.Forms...) {
-		fixed := fixedPrefix(form)
-		if strings.HasPrefix(fixed, line) {
-			matches = append(matches, fixed)
-		}
-	}
-	if len(matches) == 0 {
-		return line
-	}
-	shared := matches[0]
-	for _, m := range matches[1:] {
-		for !strings.HasPrefix(m, shared) {
-			shared = shared[:len(shared)-1]
-		}
-	}
-	return shared
-}
-
-// fixedPrefix returns the words of a form before its first name or option.
-func fixedPrefix(form string) string {
-	end := strings.IndexAny(form, "[ABCDEFGHIJKLMNOPQRSTUVWXYZ|")
-	if end < 0 {
-		return form
-	}
-	if form[end] == '|' {
-		return form[:strings.LastIndex(form[:end], " ")+1]
-	}
-	return form[:end]
-}
--- a/command/edit.go
+++ b/command/edit.go
@@ -14,11 +14,16 @@
 // Errors of an edit, besides those of package declaration.
 var (
 	ErrBadNumber = errors.New("not a whole number from 0 to 4294967295")
-	ErrUnknownID = errors.New("change id is not in the history that this daemon has")
+	ErrUnknownID = errors.New("change id is not among the changes in the store")
+	// ErrNothingToAbort refuses the abort of a change whose drains have ended or that began none.
+	ErrNothingToAbort = errors.New("change began no drain that is still going on")
+	// ErrLastDaemon refuses to drain the only daemon that is left to serve.
+	ErrLastDaemon = errors.New("no other declared daemon is active")
 )
 
 // Edit returns the configuration after the command. It returns the errors of package
-// declaration, ErrBadNumber or ErrUnknownID; previous stays as it is.
+// declaration, ErrBadNumber, ErrUnknownID, ErrNothingToAbort or ErrLastDaemon; previous stays
+// as it is.
 func (c *Command) Edit(previous *pb.Configuration, change declaration.Change) (*pb.Configuration, error) {
 	switch {
 	case c.AddUpstream != nil:
@@ -85,6 +90,9 @@
 		state = pb.DeclaredState_DECLARED_STATE_DRAINING
 	}
 	if s.Kind == "daemon" {
+		if s.Verb == "drain" && isLastDaemon(previous, s.Name) {
+			return nil, fmt.Errorf("daemon %q: %w", s.Name, ErrLastDaemon)
+		}
 		return declaration.SetDaemonState(previous, s.Name, state, change)
 	}
 	service, err := serviceOf(previous, s.Name)
@@ -94,6 +102,21 @@
 	return declaration.SetUpstreamState(previous, service, s.Name, state, change)
 }
 
+// isLastDaemon reports whether a daemon is declared active and no other one is.
+func isLastDaemon(c *pb.Configuration, name string) bool {
+	found := false
+	for _, d := range c.GetDaemons() {
+		switch {
+		case d.GetState() == pb.DeclaredState_DECLARED_STATE_DRAINING:
+		case d.GetName() == name:
+			found = true
+		default:
+			return false
+		}
+	}
+	return found
+}
+
 func (r *Remove) edit(previous *pb.Configuration, change declaration.Change) (*pb.Configuration, error) {
 	service, err := serviceOf(previous, r.Name)
 	if err != nil {
@@ -141,30 +164,3 @@
 	}
 	return declaration.Limits{}, fmt.Errorf("%w: %q", declaration.ErrUnknownService, service)
 }
-
-// edit makes the upstreams active again whose drain the change began.
-func (a *Abort) edit(previous *pb.Configuration, change declaration.Change) (*pb.Configuration, error) {
-	var begun *pb.ChangeRecord
-	for _, r := range previous.GetHistory() {
-		if r.GetChangeId() == a.ChangeID {
-			begun = r
-		}
-	}
-	if begun == nil {
-		return nil, fmt.Errorf("%w: %q", ErrUnknownID, a.ChangeID)
-	}
-	next := previous
-	for _, s := range previous.GetServices() {
-		for _, u := range s.GetUpstreams() {
-			if u.GetState() != pb.DeclaredState_DECLARED_STATE_DRAINING || u.GetDrainingSinceMs() != begun.GetCommittedAtMs() {
-				continue
-			}
-			edited, err := declaration.SetUpstreamState(next, s.GetName(), u.GetName(), pb.DeclaredState_DECLARED_STATE_ACTIVE, change)
-			if err != nil {
-				return nil, err
-			}
-			next = edited
-		}
-	}
-	return next, nil
-}
--- a/command/grammar.go
+++ b/command/grammar.go
@@ -1,12 +1,12 @@
 package command
 
 import (
-	"errors"
-	"fmt"
 	"strings"
 
 	"github.com/alecthomas/participle/v2"
 	"github.com/alecthomas/participle/v2/lexer"
+
+	"github.com/fulmarfield/fulmarfield/internal/lineerror"
 )
 
 // Forms lists every form of a command, for help and error messages.
@@ -85,41 +85,27 @@
 const lookahead = 3
 
 // ParseError says what was read, where, and what is allowed.
-type ParseError struct {
-	Line   string
-	Column int
-	Cause  string
-}
-
-// Error is one line for the operator.
-func (e *ParseError) Error() string {
-	return fmt.Sprintf("column %d of %q: %s; allowed: %s", e.Column, e.Line, e.Cause, strings.Join(allowed(e.Line), ", "))
-}
+type ParseError = lineerror.Error
 
-// allowed lists the forms with the line's first word, or all.
-func allowed(line string) []string {
-	first, _, _ := strings.Cut(strings.TrimSpace(line), " ")
-	var forms []string
+// IsCommand reports whether a line is a command by its first word.
+func IsCommand(line string) bool {
+	words := strings.Fields(line)
+	if len(words) == 0 {
+		return false
+	}
 	for _, f := range Forms {
-		if first != "" && strings.HasPrefix(f, first+" ") {
-			forms = append(forms, f)
+		if strings.HasPrefix(f, words[0]+" ") {
+			return true
 		}
 	}
-	if len(forms) == 0 {
-		return Forms
-	}
-	return forms
+	return false
 }
 
 // Parse reads one line. It returns a *ParseError for one that is not a command.
 func Parse(line string) (*Command, error) {
 	c, err := parser.ParseString("", line)
-	if err == nil {
-		return c, nil
-	}
-	var at participle.Error
-	if errors.As(err, &at) {
-		return nil, &ParseError{Line: line, Column: at.Position().Column, Cause: at.Message()}
+	if err != nil {
+		return nil, lineerror.Grammar(line, err, Forms)
 	}
-	return nil, &ParseError{Line: line, Column: 1, Cause: err.Error()}
+	return c, nil
 }
--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -12,14 +12,14 @@
 func (n *Node) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
-		fmt.Fprintln(w, "ok")
+		reply(w, "ok")
 	})
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
 		if !n.IsReady() {
 			http.Error(w, n.notReadyReason(), http.StatusServiceUnavailable)
 			return
 		}
-		fmt.Fprintln(w, "ready")
+		reply(w, "ready")
 	})
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
@@ -37,9 +37,5 @@
 	return mux
 }
 
-func (n *Node) notReadyReason() string {
-	if n.leaving.Load() {
-		return "leaving"
-	}
-	return "no configuration: neither the platform nor a peer has given one"
-}
+// reply writes one line; a prober that went away needs no error.
+func reply(w http.ResponseWriter, line string) { _, _ = fmt.Fprintln(w, line) }
--- a/daemon/logging.go
+++ b/daemon/logging.go
@@ -16,6 +16,11 @@
 	eventShutdownTimeout = "shutdown_timeout"
 	eventOperatorRefused = "operator_refused"
 	eventCommand         = "operator_command"
+	// Events of a drain by the configuration.
+	eventDaemonDraining      = "daemon_draining"
+	eventDaemonDrained       = "daemon_drained"
+	eventDrainIncomplete     = "daemon_drain_incomplete"
+	eventUndrainNeedsRestart = "daemon_undrain_needs_restart"
 )
 
 func newLogger(w io.Writer, name string, level zerolog.Level) zerolog.Logger {
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -70,6 +70,8 @@
 	counters   *telemetry.Counters
 	logger     zerolog.Logger
 	leaving    atomic.Bool
+	// drained is set once the daemon has left because the configuration drains it.
+	drained atomic.Bool
 }
 
 // lateBinding breaks the construction cycle between membership, messenger and relay: each of
@@ -237,6 +239,7 @@
 	tasks := map[string]func(context.Context) error{
 		"messenger": n.messenger.Run, "membership": n.membership.Run, "ownership": n.ownership.Run,
 		"relay": n.relay.Run, "steering": n.steerer.Run, "request": n.runAdmissions, "ingress": n.readPackets,
+		"drain": n.followDeclaredState,
 	}
 	for name, run := range tasks {
 		group.Go(func() error {
--- /dev/null
+++ b/daemon/operator_test.go
@@ -0,0 +1,201 @@
+package daemon_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/caller"
+	"github.com/fulmarfield/fulmarfield/test/testcluster"
+)
+
+// operators is a deployment with its declaration in force, as operators see it.
+type operators struct {
+	*testcluster.Cluster
+	Gomega
+	t *testing.T
+}
+
+func withCluster(t *testing.T, o testcluster.Options, test func(c operators)) {
+	synctest.Test(t, func(t *testing.T) {
+		if o.Declaration == "" {
+			o.Declaration = "../deployments/hopkrans-hoeve.yaml"
+		}
+		o.Seed = 1
+		c := operators{testcluster.Start(t, o), NewWithT(t), t}
+		defer c.Close()
+		r, err := c.Apply(context.Background(), "schuur-1", "apply-1", "anna")
+		c.Expect(err).NotTo(HaveOccurred())
+		c.Expect(r.GetOutcome()).To(Equal(pb.Outcome_OUTCOME_COMMITTED))
+		time.Sleep(2 * time.Second)
+		test(c)
+	})
+}
+
+func (c operators) run(at, line, id string) *pb.RunResponse {
+	c.t.Helper()
+	r, err := c.Run(context.Background(), at, line, id, "anna")
+	c.Expect(err).NotTo(HaveOccurred())
+	return r
+}
+
+// commit runs a command that must be committed.
+func (c operators) commit(at, line, id string) {
+	c.t.Helper()
+	r := c.run(at, line, id)
+	c.Expect(r.GetOutcome()).To(Equal(pb.Outcome_OUTCOME_COMMITTED), line+": "+r.GetReason())
+}
+
+// rows returns the table of a query, cells joined by " | ".
+func (c operators) rows(at, line string) []string {
+	c.t.Helper()
+	r := c.run(at, line, "")
+	c.Expect(r.GetErrors()).To(BeEmpty(), line)
+	var rows []string
+	for _, row := range r.GetTable().GetRows() {
+		rows = append(rows, strings.Join(row.GetCells(), " | "))
+	}
+	return rows
+}
+
+func (c operators) open(service string) *caller.Flow {
+	c.t.Helper()
+	f, err := c.Open(context.Background(), service)
+	c.Expect(err).NotTo(HaveOccurred())
+	return f
+}
+
+func (c operators) ask(f *caller.Flow) {
+	c.t.Helper()
+	a, err := f.Request(context.Background(), caller.Request{Payload: []byte("ask"), Deadline: 5 * time.Second})
+	c.Expect(err).NotTo(HaveOccurred())
+	c.Expect(a.Status).To(Equal(pb.Status_STATUS_OK))
+}
+
+// Guards against daemons that answer differently for one flow, and against a guess where only
+// the flow owner knows.
+func TestRouteIsTheSameFromEachDaemon(t *testing.T) {
+	withCluster(t, testcluster.Options{}, func(c operators) {
+		f := c.open("bindery")
+		c.ask(f)
+		who := f.Key().Caller().String()
+		flows := c.rows("schuur-1", "show flows of "+who)
+		c.Expect(flows).To(HaveLen(1))
+		upstream, owner := strings.Split(flows[0], " | ")[2], strings.Split(flows[0], " | ")[3]
+		unknown := 0
+		for _, d := range c.Live() {
+			rows := c.rows(string(d.Member.ID), "show route of "+who+" to bindery")
+			c.Expect(rows).To(ContainElement("next packet | goes to " + upstream))
+			c.Expect(rows[1]).To(HavePrefix("flow owner | " + owner + ", "))
+			if strings.Contains(rows[2], "unknown") {
+				unknown++
+			}
+		}
+		c.Expect(unknown).To(Equal(len(c.Live())-1), "only the flow owner looks up the bucket")
+		fresh := strings.Join(c.rows(owner, "show route of 127.9.99.99:40000 to bindery"), "\n")
+		c.Expect(fresh).To(ContainSubstring("record | none"))
+		c.Kill(owner)
+		time.Sleep(100 * time.Millisecond)
+		other := c.Live()[0]
+		c.Expect(strings.Join(c.rows(string(other.Member.ID), "show route of "+who+" to bindery"), "\n")).
+			To(ContainSubstring("record | unknown: the flow owner did not answer"))
+	})
+}
+
+// Guards against a drain that breaks a flow, leaves resources behind or ends the process, and
+// against an undrain that claims to have taken effect.
+func TestDrainOfADaemon(t *testing.T) {
+	withCluster(t, testcluster.Options{}, func(c operators) {
+		flows := []*caller.Flow{c.open("bindery"), c.open("bindery"), c.open("galerij")}
+		c.commit("winkel-1", "drain daemon schuur-1", "drain-1")
+		time.Sleep(5 * time.Second)
+		c.Expect(c.Daemon("schuur-1").Node.IsReady()).To(BeFalse())
+		for _, f := range flows {
+			c.ask(f)
+		}
+		c.Expect(c.rows("winkel-1", "show daemons")).To(ContainElement(MatchRegexp(`^schuur-1 \| schuur \| drained \| 2 \| .* \| 0 \| 0 \| `)))
+		c.commit("winkel-1", "undrain daemon schuur-1", "undrain-1")
+		time.Sleep(5 * time.Second)
+		c.Expect(c.rows("winkel-1", "show daemons")).To(ContainElement(HavePrefix("schuur-1 | schuur | leaving | 3 | ")))
+	})
+}
+
+// Guards against draining the daemon that nobody can take over from.
+func TestTheLastDaemonIsNotDrained(t *testing.T) {
+	withCluster(t, testcluster.Options{}, func(c operators) {
+		for _, name := range []string{"schuur-1", "schuur-2", "droogvloer-1", "droogvloer-2", "winkel-2"} {
+			c.commit("winkel-1", "drain daemon "+name, "drain-"+name)
+			time.Sleep(3 * time.Second)
+		}
+		r := c.run("winkel-1", "drain daemon winkel-1", "drain-last")
+		c.Expect(r.GetOutcome()).To(Equal(pb.Outcome_OUTCOME_REFUSED))
+		c.Expect(r.GetReason()).To(ContainSubstring("no other declared daemon is active"))
+		c.ask(c.open("bindery"))
+	})
+}
+
+// Guards against an abort that finds only the few changes that daemons pass on, that reverses
+// another change, or that reports success when it did nothing.
+func TestAbortReversesWhatAChangeBegan(t *testing.T) {
+	withCluster(t, testcluster.Options{}, func(c operators) {
+		c.commit("schuur-1", "drain upstream bindery-1", "drain-1")
+		time.Sleep(time.Second)
+		c.commit("schuur-1", "drain upstream bindery-2", "drain-2")
+		for _, n := range []string{"21", "22", "23", "24", "25", "26"} {
+			c.commit("schuur-1", "set limit of galerij queue-length "+n, "limit-"+n)
+		}
+		c.commit("winkel-1", "drain daemon schuur-2", "drain-3")
+		time.Sleep(time.Second)
+		c.commit("winkel-1", "abort drain-1", "abort-1")
+		time.Sleep(time.Second)
+		c.Expect(c.rows("winkel-1", "show upstreams of bindery")).To(ContainElements(
+			MatchRegexp(`^bindery-1 \|.*\| active \|`), MatchRegexp(`^bindery-2 \|.*\| draining \|`)))
+		c.commit("winkel-1", "abort drain-3", "abort-3")
+		c.Expect(c.rows("winkel-1", "show change abort-3")[0]).To(ContainSubstring("daemon schuur-2 is active"))
+		again := c.run("winkel-1", "abort drain-1", "abort-again")
+		c.Expect(again.GetReason()).To(ContainSubstring("change began no drain that is still going on"))
+		c.Expect(c.run("winkel-1", "abort drain-1", "abort-1").GetOutcome()).To(Equal(pb.Outcome_OUTCOME_UNCHANGED))
+		c.Expect(c.run("winkel-1", "abort nothing", "abort-4").GetReason()).To(HavePrefix(`column 7 of "abort nothing": change id is not among`))
+	})
+}
+
+// Guards against "not committed" for a change that may have been committed, and against a
+// history that does not say where it was read.
+func TestOutcomeOfAChange(t *testing.T) {
+	withCluster(t, testcluster.Options{}, func(c operators) {
+		for _, n := range []string{"21", "22", "23", "24", "25", "26"} {
+			c.commit("schuur-1", "set limit of galerij queue-length "+n, "limit-"+n)
+		}
+		c.Expect(c.rows("winkel-2", "show change limit-21")[0]).To(HavePrefix("limit-21 | committed | 2 | anna"))
+		c.Expect(c.rows("winkel-2", "show change never")[0]).To(HavePrefix("never | not committed"))
+		c.Expect(c.rows("winkel-2", "show history")).To(HaveLen(7))
+		c.Platform.SetOutage(true)
+		time.Sleep(time.Second)
+		c.Expect(c.rows("winkel-2", "show change never")[0]).To(HavePrefix("never | unknown"))
+		c.Expect(c.rows("winkel-2", "show change limit-26")[0]).To(HavePrefix("limit-26 | committed"))
+		history := c.run("winkel-2", "show history", "")
+		c.Expect(history.GetBasis().GetPlatformReachable()).To(BeFalse())
+		c.Expect(history.GetTable().GetRows()[0].GetCells()).To(ContainElement("daemon"))
+	})
+}
+
+// Guards against a drain whose remaining work an operator cannot see.
+func TestDrainListsItsBlockers(t *testing.T) {
+	withCluster(t, testcluster.Options{MeanService: 2 * time.Second}, func(c operators) {
+		f := c.open("bindery")
+		done := make(chan struct{})
+		go func() { defer close(done); c.ask(f) }()
+		time.Sleep(time.Second)
+		upstream := strings.Split(c.rows("schuur-1", "show flows of "+f.Key().Caller().String())[0], " | ")[2]
+		rows := c.rows("schuur-1", "show drain of "+upstream)
+		holder := strings.TrimPrefix(rows[4], "admission held by | ")
+		c.Expect(c.rows(holder, "show drain of "+upstream)).To(ContainElement(
+			MatchRegexp(`^blocked by \| request \d+ of ` + f.Key().Caller().String() + `, in progress for .*s, .*s to its deadline$`)))
+		<-done
+	})
+}
--- /dev/null
+++ b/daemon/operatordeclaration.go
@@ -0,0 +1,50 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/config/declaration"
+)
+
+// Plan says what a declaration would change, without changing anything.
+func (s operatorService) Plan(ctx context.Context, r *connect.Request[pb.PlanRequest]) (*connect.Response[pb.PlanResponse], error) {
+	basis, _ := s.gather(ctx, "")
+	response := &pb.PlanResponse{Basis: basis}
+	d, errs := declaration.Parse(r.Msg.GetFileName(), r.Msg.GetDeclaration())
+	if len(errs) > 0 {
+		response.Errors = errs.Lines()
+		return connect.NewResponse(response), nil
+	}
+	_, response.Lines = declaration.Build(s.n.relay.Current().Proto, d, "plan", "", time.Now())
+	return connect.NewResponse(response), nil
+}
+
+// Apply commits a declaration and waits until it is in force.
+func (s operatorService) Apply(ctx context.Context, r *connect.Request[pb.ApplyRequest]) (*connect.Response[pb.ApplyResponse], error) {
+	m := r.Msg
+	response := &pb.ApplyResponse{ChangeId: m.GetChangeId()}
+	d, errs := declaration.Parse(m.GetFileName(), m.GetDeclaration())
+	if len(errs) > 0 {
+		response.Outcome, response.Reason = pb.Outcome_OUTCOME_REFUSED, "the declaration has errors"
+		response.Errors = errs.Lines()
+		response.Basis, _ = s.gather(ctx, "")
+		return connect.NewResponse(response), nil
+	}
+	at := time.Now()
+	result := s.commit(ctx, m.GetChangeId(), m.GetExpectedGeneration(), func(previous *pb.Configuration) (*pb.Configuration, error) {
+		if err := declaration.CheckDeployment(previous, d); err != nil {
+			return nil, err
+		}
+		next, _ := declaration.Build(previous, d, m.GetChangeId(), m.GetAuthor(), at)
+		return next, nil
+	})
+	s.logChange("apply "+m.GetFileName(), m.GetAuthor(), m.GetChangeId(), result)
+	response.Outcome, response.Generation, response.Reason = result.outcome, result.generation, result.reason
+	response.InForce, response.NotConfirmed = s.waitInForce(ctx, result, m.GetWaitMs())
+	response.Basis, _ = s.gather(ctx, "")
+	return connect.NewResponse(response), nil
+}
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -70,7 +70,7 @@
 	rest, err := parser.ParseArgs(args)
 	var flagsErr *flags.Error
 	if errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp {
-		fmt.Fprintln(os.Stdout, flagsErr.Message)
+		_, _ = fmt.Fprintln(os.Stdout, flagsErr.Message)
 		return nil, ErrHelp
 	}
 	if err != nil {
--- a/query/changes.go
+++ b/query/changes.go
@@ -23,17 +23,19 @@
 
 // drain lists what keeps a draining upstream from being empty.
 func drain(f Facts, name string) (*pb.Table, error) {
+	var names []string
 	for _, s := range f.Snapshot.Services() {
 		for _, u := range s.GetUpstreams() {
 			if u.GetName() == name {
-				return drainOf(f, u), nil
+				return drainOf(f, s, u), nil
 			}
+			names = append(names, u.GetName())
 		}
 	}
-	return nil, fmt.Errorf("upstream %q is %w", name, ErrNotDeclared)
+	return nil, &NameError{Kind: "upstream", Name: name, Declared: names}
 }
 
-func drainOf(f Facts, u *pb.Upstream) *pb.Table {
+func drainOf(f Facts, service *pb.Service, u *pb.Upstream) *pb.Table {
 	known := summarize(f, u.GetNumber())
 	t := &pb.Table{Columns: []string{"what", "value"}}
 	since := "not draining"
@@ -47,33 +49,26 @@
 		row("requests in progress", known.inProgress),
 		row("requests queued", known.queued),
 		row("admission held by", known.holder))
+	t.Rows = append(t.Rows, blockers(f, service, u)...)
 	return t
 }
 
-func history(f Facts) *pb.Table {
-	t := &pb.Table{Columns: []string{"generation", "change id", "author", "committed", "summary"}}
-	for _, c := range f.Snapshot.Proto.GetHistory() {
-		t.Rows = append(t.Rows, changeRow(c))
-	}
-	return t
-}
-
-func changeRow(c *pb.ChangeRecord) *pb.Row {
-	at := time.UnixMilli(c.GetCommittedAtMs()).UTC().Format(time.RFC3339)
-	return row(number(c.GetGeneration()), c.GetChangeId(), c.GetAuthor(), at, c.GetSummary())
-}
-
-// change looks a change id up in the configuration in force. An id that is not there may have
-// been committed after this generation, so it is unknown rather than not committed.
-func change(f Facts, id string) *pb.Table {
-	t := &pb.Table{Columns: []string{"change id", "outcome", "generation", "author", "summary"}}
-	for _, c := range f.Snapshot.Proto.GetHistory() {
-		if c.GetChangeId() == id {
-			t.Rows = append(t.Rows, row(id, "committed", number(c.GetGeneration()), c.GetAuthor(), c.GetSummary()))
-			return t
+// blockers lists the requests that the drain waits for, when this daemon holds the upstream's
+// admission, and says when the flows that remain are ended.
+func blockers(f Facts, service *pb.Service, u *pb.Upstream) []*pb.Row {
+	var rows []*pb.Row
+	for _, b := range f.Blockers {
+		state := "in progress"
+		if b.Queued {
+			state = "queued"
 		}
+		rows = append(rows, row("blocked by", fmt.Sprintf("request %d of %s, %s for %s, %s to its deadline", b.RequestID,
+			b.Flow.Caller(), state, b.Age.Round(time.Millisecond), b.Left.Round(time.Millisecond))))
 	}
-	t.Rows = append(t.Rows, row(id, Unknown, Unknown, Unknown,
-		fmt.Sprintf("not in the history up to generation %d", f.Snapshot.Generation())))
-	return t
+	limit := time.Duration(service.GetLimits().GetDrainLimitMs()) * time.Millisecond
+	if u.GetState() == pb.DeclaredState_DECLARED_STATE_DRAINING && limit > 0 {
+		ends := time.UnixMilli(u.GetDrainingSinceMs()).Add(limit).Sub(f.Now)
+		rows = append(rows, row("flows end in", max(0, ends).Round(time.Second).String()))
+	}
+	return rows
 }
--- a/query/evaluate.go
+++ b/query/evaluate.go
@@ -10,6 +10,8 @@
 
 	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
 	"github.com/fulmarfield/fulmarfield/config"
+	"github.com/fulmarfield/fulmarfield/internal/lineerror"
+	"github.com/fulmarfield/fulmarfield/request"
 )
 
 // Unknown stands in a cell whose value no daemon that answered could give.
@@ -26,8 +28,34 @@
 	// Missing are the daemons that did not answer.
 	Missing []string
 	Now     time.Time
-	// Route is set for a route query: one line for each step.
-	Route []*pb.Row
+	// Route is set for a route query.
+	Route *RouteFacts
+	// Changes is set for queries of the history.
+	Changes *ChangeFacts
+	// Blockers is set for a drain query at the daemon that holds the upstream's admission.
+	Blockers []request.Blocker
+}
+
+// NameError reports a name that the configuration does not have. It wraps ErrNotDeclared.
+type NameError struct {
+	Kind     string
+	Name     string
+	Declared []string
+}
+
+// Error names the kind and the name.
+func (e *NameError) Error() string { return fmt.Sprintf("%s %q is %v", e.Kind, e.Name, ErrNotDeclared) }
+
+// Unwrap returns ErrNotDeclared.
+func (e *NameError) Unwrap() error { return ErrNotDeclared }
+
+// Locate says where in the line an error of Evaluate is and what is allowed there.
+func Locate(line string, err error) error {
+	var name *NameError
+	if !errors.As(err, &name) {
+		return err
+	}
+	return lineerror.At(line, name.Name, err, name.Declared)
 }
 
 // Caller returns the caller whose flows the query needs from the daemons, or "".
@@ -55,7 +83,7 @@
 	case q.Flows != nil:
 		return flows(f), nil
 	case q.Route != nil:
-		return &pb.Table{Columns: []string{"step", "answer"}, Rows: f.Route}, nil
+		return route(f, q.Route)
 	case q.Refusals:
 		return counters(f, "refusal."), nil
 	case q.Retries:
@@ -153,16 +181,12 @@
 func daemons(f Facts) *pb.Table {
 	t := &pb.Table{Columns: []string{"daemon", "zone", "state", "generation", "age", "flows", "resources", "platform"}}
 	for _, s := range f.Statuses {
-		state := "serving"
-		if s.GetLeaving() {
-			state = "leaving"
-		}
 		platform := "unreachable"
 		if s.GetPlatformReachable() {
 			platform = "reachable"
 		}
 		age := time.Duration(s.GetGenerationAgeMs()) * time.Millisecond
-		t.Rows = append(t.Rows, row(s.GetDaemon(), s.GetZone(), state, number(s.GetGeneration()),
+		t.Rows = append(t.Rows, row(s.GetDaemon(), s.GetZone(), daemonState(f, s), number(s.GetGeneration()),
 			age.Round(time.Second).String(), number(s.GetFlowCount()), number(s.GetResourcesHeld()), platform))
 	}
 	for _, m := range f.Missing {
@@ -171,6 +195,24 @@
 	return t
 }
 
+// daemonState tells a daemon that is being handed over from one that has nothing left, and one
+// that left by itself from one that the configuration drains.
+func daemonState(f Facts, s *pb.StatusResponse) string {
+	if !s.GetLeaving() {
+		return "serving"
+	}
+	for _, d := range f.Snapshot.Proto.GetDaemons() {
+		if d.GetName() != s.GetDaemon() || d.GetState() != pb.DeclaredState_DECLARED_STATE_DRAINING {
+			continue
+		}
+		if s.GetResourcesHeld() == 0 {
+			return "drained"
+		}
+		return "draining"
+	}
+	return "leaving"
+}
+
 func connections(f Facts, service string) (*pb.Table, error) {
 	selected, err := selectServices(f, service)
 	if err != nil {
@@ -256,7 +298,7 @@
 		}
 		names = append(names, s.GetName())
 	}
-	return nil, fmt.Errorf("service %q is %w; declared: %s", name, ErrNotDeclared, strings.Join(names, ", "))
+	return nil, &NameError{Kind: "service", Name: name, Declared: names}
 }
 
 func enumName(name, prefix string) string {
--- a/query/grammar.go
+++ b/query/grammar.go
@@ -3,10 +3,13 @@
 import (
 	"errors"
 	"fmt"
+	"net/netip"
 	"strings"
 
 	"github.com/alecthomas/participle/v2"
 	"github.com/alecthomas/participle/v2/lexer"
+
+	"github.com/fulmarfield/fulmarfield/internal/lineerror"
 )
 
 // Forms lists every form of a query, for help and error messages.
@@ -82,32 +85,46 @@
 var parser = participle.MustBuild[Query](participle.Lexer(words), participle.Elide("Space"))
 
 // ParseError says what was read, where, and what is allowed.
-type ParseError struct {
-	Line   string
-	Column int
-	Cause  string
-}
+type ParseError = lineerror.Error
 
-// Error is one line for the operator.
-func (e *ParseError) Error() string {
-	return fmt.Sprintf("column %d of %q: %s; allowed: %s", e.Column, e.Line, e.Cause, strings.Join(Forms, ", "))
-}
+// ErrBadAddress reports a caller that is not an address.
+var ErrBadAddress = errors.New("not an IPv4 address")
 
 // IsQuery reports whether a line is a query by its first word.
 func IsQuery(line string) bool {
-	first, _, _ := strings.Cut(strings.TrimSpace(line), " ")
-	return first == "show"
+	words := strings.Fields(line)
+	return len(words) > 0 && words[0] == "show"
 }
 
-// Parse reads one line. It returns a *ParseError for one that is not a query.
+// Parse reads one line. It returns a *ParseError for one that is not a query; the error wraps
+// ErrBadAddress when only the caller's address is wrong.
 func Parse(line string) (*Query, error) {
 	q, err := parser.ParseString("", line)
-	if err == nil {
-		return q, nil
+	if err != nil {
+		return nil, lineerror.Grammar(line, err, Forms)
+	}
+	if err := q.checkCaller(line); err != nil {
+		return nil, err
+	}
+	return q, nil
+}
+
+// checkCaller checks the address of a caller. A route needs the port, since it belongs to one
+// flow.
+func (q *Query) checkCaller(line string) error {
+	caller := q.Caller()
+	if caller == "" {
+		return nil
+	}
+	if addr, err := netip.ParseAddrPort(caller); err == nil && addr.Addr().Is4() {
+		return nil
 	}
-	var at participle.Error
-	if errors.As(err, &at) {
-		return nil, &ParseError{Line: line, Column: at.Position().Column, Cause: at.Message()}
+	allowed := []string{"IP:PORT, as 192.0.2.1:40000"}
+	if q.Flows != nil {
+		if addr, err := netip.ParseAddr(caller); err == nil && addr.Is4() {
+			return nil
+		}
+		allowed = append(allowed, "IP, as 192.0.2.1")
 	}
-	return nil, &ParseError{Line: line, Column: 1, Cause: err.Error()}
+	return lineerror.At(line, caller, fmt.Errorf("%q is %w", caller, ErrBadAddress), allowed)
 }
