--- a/daemon/operatorcommand.go
+++ b/daemon/operatorcommand.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"time"
 
@@ -29,17 +30,35 @@
 		return response
 	}
 	change := declaration.Change{ID: m.GetChangeId(), Author: m.GetAuthor(), At: time.Now()}
+	var base *pb.Configuration
 	result := s.commit(ctx, m.GetChangeId(), 0, func(previous *pb.Configuration) (*pb.Configuration, error) {
 		next, err := c.Edit(previous, change)
+		if err != nil && base != nil && previous.GetGeneration() > base.GetGeneration() {
+			return nil, overtaken(previous, base.GetGeneration(), err)
+		}
+		base = previous
 		return next, command.Locate(m.GetLine(), previous, err)
 	})
 	s.logChange(m.GetLine(), m.GetAuthor(), m.GetChangeId(), result)
 	response.Outcome, response.Reason = result.outcome, result.reason
-	response.InForce, response.NotConfirmed = s.waitInForce(ctx, result, m.GetWaitMs())
-	response.Basis, _ = s.gather(ctx, "")
+	asked := s.newCensus()
+	response.InForce, response.NotConfirmed = asked.waitInForce(ctx, result, m.GetWaitMs())
+	response.Basis, _ = asked.gather(ctx, "")
 	return response
 }
 
+// overtaken is the error of an edit that was possible before another change came first; it
+// names that change.
+func overtaken(now *pb.Configuration, since uint64, err error) error {
+	var changes []string
+	for _, r := range now.GetHistory() {
+		if r.GetGeneration() > since {
+			changes = append(changes, fmt.Sprintf("generation %d by %s: %s", r.GetGeneration(), r.GetAuthor(), r.GetSummary()))
+		}
+	}
+	return fmt.Errorf("%w: %w: %s", commit.ErrConflict, err, strings.Join(changes, "; "))
+}
+
 // logChange keeps a trace of each change in the log of the daemon that made it.
 func (s operatorService) logChange(line, author, changeID string, r commitResult) {
 	s.n.logger.Info().Str("event", eventCommand).Str("line", line).Str("author", author).
@@ -77,13 +96,13 @@
 
 // waitInForce asks all daemons for their generation until each has at least the committed one
 // or the time is up. Daemons that did not confirm are listed, never assumed.
-func (s operatorService) waitInForce(ctx context.Context, r commitResult, waitMs uint32) (inForce, notConfirmed []string) {
+func (c *census) waitInForce(ctx context.Context, r commitResult, waitMs uint32) (inForce, notConfirmed []string) {
 	if r.outcome != pb.Outcome_OUTCOME_COMMITTED && r.outcome != pb.Outcome_OUTCOME_UNCHANGED {
 		return nil, nil
 	}
 	deadline := time.Now().Add(time.Duration(waitMs) * time.Millisecond)
 	for {
-		basis, statuses := s.gather(ctx, "")
+		basis, statuses := c.gather(ctx, "")
 		inForce, notConfirmed = nil, append([]string(nil), basis.GetMissing()...)
 		for _, status := range statuses {
 			if status.GetGeneration() >= r.generation {
@@ -95,6 +114,9 @@
 		if len(notConfirmed) == 0 || time.Now().After(deadline) || ctx.Err() != nil {
 			return inForce, notConfirmed
 		}
-		time.Sleep(inForcePoll)
+		select {
+		case <-ctx.Done():
+		case <-time.After(inForcePoll):
+		}
 	}
 }
--- a/daemon/operatordeclaration.go
+++ b/daemon/operatordeclaration.go
@@ -12,7 +12,7 @@
 
 // Plan says what a declaration would change, without changing anything.
 func (s operatorService) Plan(ctx context.Context, r *connect.Request[pb.PlanRequest]) (*connect.Response[pb.PlanResponse], error) {
-	basis, _ := s.gather(ctx, "")
+	basis, _ := s.newCensus().gather(ctx, "")
 	response := &pb.PlanResponse{Basis: basis}
 	d, errs := declaration.Parse(r.Msg.GetFileName(), r.Msg.GetDeclaration())
 	if len(errs) > 0 {
@@ -31,7 +31,7 @@
 	if len(errs) > 0 {
 		response.Outcome, response.Reason = pb.Outcome_OUTCOME_REFUSED, "the declaration has errors"
 		response.Errors = errs.Lines()
-		response.Basis, _ = s.gather(ctx, "")
+		response.Basis = s.basis()
 		return connect.NewResponse(response), nil
 	}
 	at := time.Now()
@@ -44,7 +44,8 @@
 	})
 	s.logChange("apply "+m.GetFileName(), m.GetAuthor(), m.GetChangeId(), result)
 	response.Outcome, response.Generation, response.Reason = result.outcome, result.generation, result.reason
-	response.InForce, response.NotConfirmed = s.waitInForce(ctx, result, m.GetWaitMs())
-	response.Basis, _ = s.gather(ctx, "")
+	asked := s.newCensus()
+	response.InForce, response.NotConfirmed = asked.waitInForce(ctx, result, m.GetWaitMs())
+	response.Basis, _ = asked.gather(ctx, "")
 	return connect.NewResponse(response), nil
 }
--- a/daemon/operatorgather.go
+++ b/daemon/operatorgather.go
@@ -2,29 +2,46 @@
 
 import (
 	"context"
+	"errors"
 	"sort"
 	"sync"
 
 	"connectrpc.com/connect"
 
 	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/config/commit"
 	"github.com/fulmarfield/fulmarfield/membership"
 	"github.com/fulmarfield/fulmarfield/platform"
 )
 
+// census asks the daemons and the platform for one operator's call. What it learns of the
+// platform it asks for only once, since a waiting command asks the daemons many times.
+type census struct {
+	operatorService
+	once      sync.Once
+	reachable bool
+	mu        sync.Mutex
+	// listed tells of each daemon that cannot be asked whether the platform lists its VM.
+	listed map[string]bool
+}
+
+func (s operatorService) newCensus() *census {
+	return &census{operatorService: s, listed: map[string]bool{}}
+}
+
 // gather asks every daemon of the view for its status and says which answered. A daemon that
 // did not is named as missing while it may still serve.
-func (s operatorService) gather(ctx context.Context, caller string) (*pb.Basis, []*pb.StatusResponse) {
+func (c *census) gather(ctx context.Context, caller string) (*pb.Basis, []*pb.StatusResponse) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	basis := s.basis()
-	statuses := []*pb.StatusResponse{s.n.Status(caller)}
-	ask, gone := s.roster()
+	basis := c.basis()
+	statuses := []*pb.StatusResponse{c.n.Status(caller)}
+	ask, gone := c.roster()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for _, m := range ask {
 		wg.Go(func() {
-			status, err := s.statusOf(ctx, m, caller)
+			status, err := c.statusOf(ctx, m, caller)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
@@ -35,8 +52,10 @@
 		})
 	}
 	var lost []string
-	wg.Go(func() { lost = s.stillListed(ctx, gone) })
+	wg.Go(func() { lost = c.stillListed(ctx, gone) })
+	wg.Go(func() { c.once.Do(func() { c.reachable = c.reachesPlatform(ctx) }) })
 	wg.Wait()
+	basis.PlatformReachable = c.reachable
 	basis.Missing = append(basis.Missing, lost...)
 	sort.Slice(statuses, func(i, j int) bool { return statuses[i].GetDaemon() < statuses[j].GetDaemon() })
 	sort.Strings(basis.Missing)
@@ -47,6 +66,13 @@
 	return basis, statuses
 }
 
+// reachesPlatform makes one call to the store. The relay's last call may be long ago, since
+// most daemons do not watch the store.
+func (c *census) reachesPlatform(ctx context.Context) bool {
+	_, err := c.n.store.Get(ctx, commit.HeadKey)
+	return err == nil || errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrRateLimited)
+}
+
 // roster returns the members to ask and the daemons that cannot be asked but may serve: those
 // dropped from the view, which may be cut off, and declared ones that are not in the view. A
 // member that left has handed over everything and ended.
@@ -71,31 +97,53 @@
 
 // stillListed returns the names whose VM the platform still lists, or all of them when the
 // list cannot be read: a VM that is not known to have ended may serve on its side of a cut.
-func (s operatorService) stillListed(ctx context.Context, names []string) []string {
-	if len(names) == 0 {
+func (c *census) stillListed(ctx context.Context, names []string) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.list(ctx, names); err != nil {
+		return names
+	}
+	var still []string
+	for _, name := range names {
+		if c.listed[name] {
+			still = append(still, name)
+		}
+	}
+	return still
+}
+
+// list reads the VM list when it has not been asked for one of the names. c.mu is held.
+func (c *census) list(ctx context.Context, names []string) error {
+	known := true
+	for _, name := range names {
+		_, ok := c.listed[name]
+		known = known && ok
+	}
+	if known {
 		return nil
 	}
-	lister, ok := s.n.store.(platform.VMLister)
+	lister, ok := c.n.store.(platform.VMLister)
 	if !ok {
-		return names
+		return errNoVMList
 	}
 	vms, err := lister.ListVMs(ctx)
 	if err != nil {
-		return names
-	}
-	listed := map[string]bool{}
-	for _, vm := range vms {
-		listed[vm.Name] = vm.Kind == platform.KindDaemon
+		return err
 	}
-	var still []string
 	for _, name := range names {
-		if listed[name] {
-			still = append(still, name)
+		c.listed[name] = false
+	}
+	for _, vm := range vms {
+		if vm.Kind == platform.KindDaemon {
+			c.listed[vm.Name] = true
 		}
 	}
-	return still
+	return nil
 }
 
+// errNoVMList means that the store of a test has no VM list.
+var errNoVMList = errors.New("platform gives no VM list")
+
 func (s operatorService) statusOf(ctx context.Context, m membership.Member, caller string) (*pb.StatusResponse, error) {
 	client, err := s.n.clients.Client(m.ID)
 	if err != nil {
--- a/daemon/operatorquery.go
+++ b/daemon/operatorquery.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		return &pb.RunResponse{Basis: s.basis(), Errors: []string{err.Error()}}
 	}
-	basis, statuses := s.gather(ctx, q.Caller())
+	basis, statuses := s.newCensus().gather(ctx, q.Caller())
 	response := &pb.RunResponse{Basis: basis}
 	facts := query.Facts{Snapshot: s.n.relay.Current(), Statuses: statuses, Missing: basis.GetMissing(), Now: time.Now()}
 	if q.NeedsHistory() {
