Measure waits, overload, aims and notices, and work out the capacity

Cause: bounds, limits and the way of notices were chosen without figures.

Modelled upstreams answer a cancellation and keep deadlines, as the stand-ins do.

--- a/experiment/check.go
+++ b/experiment/check.go
@@ -50,7 +50,7 @@
 // durationFields are the names of the fields that hold a duration.
 var durationFields = func() map[string]bool {
 	names := map[string]bool{}
-	for _, of := range []reflect.Type{reflect.TypeFor[Declaration](), reflect.TypeFor[Settings](), reflect.TypeFor[Fault]()} {
+	for _, of := range []reflect.Type{reflect.TypeFor[Declaration](), reflect.TypeFor[Settings](), reflect.TypeFor[Fault](), reflect.TypeFor[Notices]()} {
 		for i := range of.NumField() {
 			if f := of.Field(i); f.Type == reflect.TypeFor[time.Duration]() {
 				names[f.Tag.Get("yaml")] = true
--- a/experiment/declare.go
+++ b/experiment/declare.go
@@ -68,7 +68,9 @@
 	// UpstreamQueue is the number of requests that wait at an upstream; more are refused.
 	UpstreamQueue int `yaml:"upstream_queue"`
 	// QueueLength bounds the queue of the project's admission; 0 is its default.
-	QueueLength     int  `yaml:"queue_length"`
+	QueueLength int `yaml:"queue_length"`
+	// RetryPercent is the service's retry budget; 0 is the default of 10 %.
+	RetryPercent    int  `yaml:"retry_percent"`
 	NoQueueDeadline bool `yaml:"no_queue_deadline"`
 	NoRetryBudget   bool `yaml:"no_retry_budget"`
 }
--- a/experiment/measures.go
+++ b/experiment/measures.go
@@ -28,9 +28,13 @@
 	imbalance           []Point
 	meanImbalance, most float64
 	after60             float64
-	flowsAtEnd          int
-	diverted, placed    uint64
-	exceptions          uint64
+	// draining are the flows on draining upstreams over time, and left60 those 60 s after the
+	// first drain.
+	draining         []Point
+	left60           float64
+	flowsAtEnd       int
+	diverted, placed uint64
+	exceptions       uint64
 
 	offered, attempts, callerRetries int
 	finished, good                   int
@@ -46,7 +50,8 @@
 	recovery                         time.Duration
 	unfinished, flowsOnUpstreams     int
 	mostRunning                      int
-	runs                             int
+	// runs are the requests that upstreams started, and mostRuns those of the busiest one.
+	runs, mostRuns int
 }
 
 // maxMicroseconds bounds the histograms.
@@ -90,6 +95,13 @@
 		n := w.ups[number].flows
 		largest, sum = max(largest, n), sum+n
 	}
+	left := 0
+	for _, u := range w.service().GetUpstreams() {
+		if !isActive(u) {
+			left += w.ups[u.GetNumber()].flows
+		}
+	}
+	m.draining = append(m.draining, Point{now.Seconds(), float64(left)})
 	for _, u := range w.ups {
 		m.mostWork = max(m.mostWork, float64(u.most)/float64(u.slots))
 	}
@@ -146,6 +158,7 @@
 	}
 	for _, u := range w.ups {
 		m.runs += u.runs
+		m.mostRuns = max(m.mostRuns, u.runs)
 		m.flowsOnUpstreams += u.flows
 		m.mostRunning = max(m.mostRunning, u.mostRunning)
 	}
@@ -158,16 +171,23 @@
 			if sc.Name != m.Scenario || f.Kind != "drain" {
 				continue
 			}
-			for _, p := range m.imbalance {
-				if p.X <= (f.At + time.Minute).Seconds() {
-					m.after60 = p.Y
-				}
-			}
+			m.after60 = lastBefore(m.imbalance, f.At+time.Minute)
+			m.left60 = lastBefore(m.draining, f.At+time.Minute)
 			return
 		}
 	}
 }
 
+func lastBefore(points []Point, t time.Duration) float64 {
+	last := 0.0
+	for _, p := range points {
+		if p.X <= t.Seconds() {
+			last = p.Y
+		}
+	}
+	return last
+}
+
 // recoveryAfter is the time from the end of an overload until five seconds of goodput are at
 // least 95 % of the offered load; -1 if that does not happen.
 func (m *Measures) recoveryAfter(s Settings) {
--- /dev/null
+++ b/experiment/path_test.go
@@ -0,0 +1,117 @@
+package experiment
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/config"
+	"github.com/fulmarfield/fulmarfield/membership"
+	"github.com/fulmarfield/fulmarfield/ownership"
+	"github.com/fulmarfield/fulmarfield/steering"
+	"github.com/fulmarfield/fulmarfield/telemetry"
+	"github.com/fulmarfield/fulmarfield/wire"
+)
+
+// pathDaemon forwards what a Steerer decides to one address.
+type pathDaemon struct {
+	snapshot *config.Snapshot
+	conn     wire.Conn
+	to       netip.AddrPort
+}
+
+func (p *pathDaemon) Current() *config.Snapshot                        { return p.snapshot }
+func (p *pathDaemon) Subscribe(func(_, _ *config.Snapshot))            {}
+func (p *pathDaemon) ToAdmission(_, _ uint32, raw []byte)              { _ = p.conn.Send(p.to, raw) }
+func (p *pathDaemon) ToCaller(*pb.Packet)                              {}
+func (p *pathDaemon) Send(membership.DaemonID, *pb.PeerDatagram) error { return nil }
+func (p *pathDaemon) Route(ownership.Resource) (membership.DaemonID, bool, bool) {
+	return "a", true, true
+}
+func (p *pathDaemon) Successor(ownership.Resource) (membership.DaemonID, bool) { return "", false }
+func (p *pathDaemon) PreviousHolders(ownership.Resource) []membership.DaemonID { return nil }
+
+func listen(b *testing.B) wire.Conn {
+	c, err := wire.ListenUDP(netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// relay hands each datagram to f until the connection is closed.
+func relay(c wire.Conn, f func(data []byte)) {
+	batch := make([]wire.Datagram, 32)
+	for {
+		n, err := c.ReadBatch(batch)
+		if err != nil {
+			return
+		}
+		for _, d := range batch[:n] {
+			f(d.Data)
+		}
+	}
+}
+
+// pass sends datagrams through a relay, with at most 64 on the way, and returns the time taken.
+func pass(b *testing.B, through netip.AddrPort, sink wire.Conn, n int) time.Duration {
+	const window = 64
+	source := listen(b)
+	credit := make(chan struct{}, window)
+	for range window {
+		credit <- struct{}{}
+	}
+	go relay(sink, func([]byte) {
+		select {
+		case credit <- struct{}{}:
+		default:
+		}
+	})
+	raws := make([][]byte, 1000)
+	for i := range raws {
+		raws[i], _ = wire.EncodePacket(&pb.Packet{Flow: wire.FlowKey{CallerIP: 0x7f090001, CallerPort: uint16(1024 + i),
+			ServiceIP: serviceIP, ServicePort: servicePort}.Proto(), Kind: pb.Kind_KIND_DATA, Payload: make([]byte, 200)})
+	}
+	start := time.Now()
+	for i := range n {
+		select {
+		case <-credit:
+		case <-time.After(50 * time.Millisecond): // a lost datagram
+		}
+		_ = source.Send(through, raws[i%len(raws)])
+	}
+	return time.Since(start)
+}
+
+// Reports packets a second through receive, steering and forward of one daemon as a ratio to a
+// bare UDP relay in the same run.
+func BenchmarkDaemonPath(b *testing.B) {
+	const packets = 20_000
+	for b.Loop() {
+		bareSink, bare := listen(b), listen(b)
+		go relay(bare, func(data []byte) { _ = bare.Send(bareSink.LocalAddr(), data) })
+		sink, daemon := listen(b), listen(b)
+		s := &pb.Service{Number: serviceNumber, Address: "127.2.1.1:8001"}
+		for i := range uint32(15) {
+			s.Upstreams = append(s.Upstreams, &pb.Upstream{Number: i + 1, Weight: 1, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 3, 0, byte(i)}), 9000).String()})
+		}
+		p := &pathDaemon{conn: daemon, to: sink.LocalAddr(), snapshot: config.NewSnapshot(&pb.Configuration{Generation: 1, Services: []*pb.Service{s}})}
+		steerer := steering.New(steering.Options{Config: p, Router: p, Sender: p, Output: p, Counters: telemetry.NewCounters(), Logger: zerolog.Nop()})
+		for _, r := range partitions() {
+			steerer.Activate(r, nil, ownership.Fresh)
+		}
+		go relay(daemon, func(data []byte) {
+			if h, err := wire.ParseHeader(data); err == nil {
+				steerer.HandleCaller(h, data)
+			}
+		})
+		relayed := pass(b, bare.LocalAddr(), bareSink, packets)
+		steered := pass(b, daemon.LocalAddr(), sink, packets)
+		b.ReportMetric(float64(relayed)/float64(steered), "of-bare-relay")
+		b.ReportMetric(packets/steered.Seconds(), "packets/s")
+	}
+}
--- a/experiment/report.go
+++ b/experiment/report.go
@@ -17,7 +17,7 @@
 	Declaration *Declaration
 	Seed        uint64
 	Measures    []*Measures
-	notices     []noticeResult
+	notices     []*noticeResult
 }
 
 // column is one figure of the table.
@@ -36,6 +36,7 @@
 		{"imbalance mean", func(m *Measures) string { return fmt.Sprintf("%.3f", m.meanImbalance) }},
 		{"most", func(m *Measures) string { return fmt.Sprintf("%.3f", m.most) }},
 		{"60 s after drain", func(m *Measures) string { return orDash(m.after60 > 0, "%.3f", m.after60) }},
+		{"left on drained", func(m *Measures) string { return orDash(m.after60 > 0, "%.0f", m.left60) }},
 		{"diverted %", func(m *Measures) string {
 			return orDash(m.placed > 0, "%.1f", 100*float64(m.diverted)/float64(max(m.placed, 1)))
 		}},
@@ -60,6 +61,9 @@
 		{"p99 ms", func(m *Measures) string { return ms(m.wait.ValueAtQuantile(99)) }},
 		{"answer p99 ms", func(m *Measures) string { return ms(m.latency.ValueAtQuantile(99)) }},
 		{"work/slots", func(m *Measures) string { return fmt.Sprintf("%.1f", m.mostWork) }},
+		{"busiest upstream", func(m *Measures) string {
+			return fmt.Sprintf("%.2f", float64(m.mostRuns*m.Settings.Upstreams)/float64(max(m.runs, 1)))
+		}},
 		{"recovery s", recovery},
 		{"caller retries", func(m *Measures) string { return fmt.Sprint(m.callerRetries) }},
 		{"not answered", func(m *Measures) string { return failures(m.statuses) }},
@@ -147,9 +151,12 @@
 // of w.
 func (r *Report) Table(w io.Writer) error {
 	d := r.Declaration
-	lines := []string{fmt.Sprintf("%s: %s", d.Name, d.Title), fmt.Sprintf("seed %d, %s simulated, measured from %s", r.Seed, d.Duration, d.Measure)}
-	if d.Kind != kindNotices {
-		lines = append(lines, strings.ReplaceAll(fmt.Sprintf("settings %+v", d.Settings), "{", "{ "))
+	lines := []string{fmt.Sprintf("%s: %s", d.Name, d.Title)}
+	if d.Kind == kindNotices {
+		lines = append(lines, fmt.Sprintf("seed %d, settings %+v", r.Seed, d.Notices))
+	} else {
+		lines = append(lines, fmt.Sprintf("seed %d, %s simulated, measured from %s", r.Seed, d.Duration, d.Measure),
+			fmt.Sprintf("settings %+v", d.Settings))
 	}
 	rows := r.rows()
 	widths := make([]int, len(rows[0]))
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -69,7 +69,7 @@
 func Run(t *testing.T, d *Declaration, seed uint64, log io.Writer) *Report {
 	r := &Report{Declaration: d, Seed: seed}
 	if d.Kind == kindNotices {
-		r.notices = d.Notices.run(seed)
+		r.runNotices(t, seed)
 		return r
 	}
 	cases := d.Cases(seed)
@@ -87,6 +87,15 @@
 	return r
 }
 
+func (r *Report) runNotices(t *testing.T, seed uint64) {
+	n := r.Declaration.Notices
+	for _, rate := range n.Rates {
+		for _, v := range n.variants(rate) {
+			synctest.Test(t, func(*testing.T) { r.notices = append(r.notices, n.run(rate, v, seed)) })
+		}
+	}
+}
+
 // progress prints a line now and then. Time inside a bubble is simulated, so lines are only
 // printed between cases.
 type progress struct {
--- a/experiment/upstream.go
+++ b/experiment/upstream.go
@@ -20,10 +20,10 @@
 
 // work is a request at an upstream.
 type work struct {
-	key     runKey
-	packet  *pb.Packet
-	arrived time.Duration
-	ended   bool
+	key      runKey
+	packet   *pb.Packet
+	deadline time.Duration
+	ended    bool
 }
 
 // upstream models an upstream: slots, a bounded queue, a load report and its faults.
@@ -106,28 +106,39 @@
 			u.answer(p, pb.Kind_KIND_ANSWER, pb.Status_STATUS_NOT_RUN)
 			return
 		}
-		u.queue = append(u.queue, &work{key: key, packet: p, arrived: u.w.clock.now()})
+		deadline := u.w.clock.now() + time.Duration(p.GetDeadlineMs())*time.Millisecond
+		u.queue = append(u.queue, &work{key: key, packet: p, deadline: deadline})
 		u.most = max(u.most, len(u.running)+len(u.queue))
 		u.next()
 	default:
 	}
 }
 
-// next starts queued work while slots are free.
+// next starts queued work while slots are free. Work whose deadline has passed is refused.
 func (u *upstream) next() {
 	for len(u.queue) > 0 && len(u.running) < u.slots {
 		job := u.queue[0]
 		u.queue = u.queue[1:]
+		left := job.deadline - u.w.clock.now()
+		if left <= 0 {
+			u.refuse(job, pb.Status_STATUS_NOT_RUN, pb.Reason_REASON_DEADLINE)
+			continue
+		}
 		u.running[job.key] = job
 		u.mostRunning = max(u.mostRunning, len(u.running))
 		u.runs++
 		u.w.started(job)
-		u.w.clock.after(u.serviceTime(), func() {
+		takes := u.serviceTime()
+		u.w.clock.after(min(takes, left), func() {
 			if job.ended {
 				return
 			}
 			u.stop(job)
-			u.answer(job.packet, pb.Kind_KIND_ANSWER, pb.Status_STATUS_OK)
+			if takes > left {
+				u.refuse(job, pb.Status_STATUS_ERROR, pb.Reason_REASON_DEADLINE)
+			} else {
+				u.answer(job.packet, pb.Kind_KIND_ANSWER, pb.Status_STATUS_OK)
+			}
 			u.next()
 		})
 	}
@@ -138,16 +149,24 @@
 	delete(u.running, job.key)
 }
 
-// cancel ends a request that nobody waits for any more.
+func (u *upstream) refuse(job *work, status pb.Status, reason pb.Reason) {
+	job.packet.Reason = reason
+	u.answer(job.packet, pb.Kind_KIND_ANSWER, status)
+}
+
+// cancel ends a request that nobody waits for any more, and says so: only then does the
+// admission know that the slot is free.
 func (u *upstream) cancel(key runKey) {
 	if job := u.running[key]; job != nil {
 		u.stop(job)
+		u.refuse(job, pb.Status_STATUS_ERROR, pb.Reason_REASON_CANCELLED)
 		u.next()
 		return
 	}
 	for i, job := range u.queue {
 		if job.key == key {
 			u.queue = append(u.queue[:i:i], u.queue[i+1:]...)
+			u.refuse(job, pb.Status_STATUS_NOT_RUN, pb.Reason_REASON_CANCELLED)
 			return
 		}
 	}
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -86,7 +86,7 @@
 func (w *world) build() {
 	s := &pb.Service{Number: serviceNumber, Name: "service", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 2, 1, 1}), servicePort).String(),
 		Limits: &pb.Limits{LoadBoundPercent: uint32(w.s.LoadBound), DrainLimitMs: uint32(w.s.DrainLimit.Milliseconds()),
-			QueueLength: uint32(w.s.QueueLength)}, Aim: pb.Aim_AIM_CONNECTIONS,
+			QueueLength: uint32(w.s.QueueLength), RetryPercent: uint32(w.s.RetryPercent)}, Aim: pb.Aim_AIM_CONNECTIONS,
 		TableGeneration: 1, TableSinceMs: time.Now().UnixMilli()}
 	if w.s.Aim == "balance" {
 		s.Aim = pb.Aim_AIM_BALANCE
