--- a/daemon/access.go
+++ b/daemon/access.go
@@ -14,21 +14,22 @@
 	"github.com/fulmarfield/fulmarfield/telemetry"
 )
 
-// operatorAccess refuses operators' calls without the right token, and counts them.
+// operatorAccess refuses operators' calls without the right token or a client certificate, and
+// counts them.
 type operatorAccess struct {
 	token    string
 	counters *telemetry.Counters
 	logger   zerolog.Logger
 }
 
-// wrap returns a handler that lets a call pass when no token is set or the call carries it.
+// wrap returns a handler that lets a call pass when no token is set, the call carries it, or
+// the caller has shown a certificate that the listener verified.
 func (a operatorAccess) wrap(next http.Handler) http.Handler {
 	if a.token == "" {
 		return next
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		given, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		if subtle.ConstantTimeCompare([]byte(given), []byte(a.token)) != 1 {
+		if !a.hasToken(r) && !hasCertificate(r) {
 			a.counters.Count("refusal.operator_token")
 			a.logger.Warn().Str("event", eventOperatorRefused).Str("remote", r.RemoteAddr).Msg("")
 			http.Error(w, "operator token is missing or wrong", http.StatusUnauthorized)
@@ -38,6 +39,15 @@
 	})
 }
 
+func (a operatorAccess) hasToken(r *http.Request) bool {
+	given, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	return found && subtle.ConstantTimeCompare([]byte(given), []byte(a.token)) == 1
+}
+
+func hasCertificate(r *http.Request) bool {
+	return r.TLS != nil && len(r.TLS.VerifiedChains) > 0
+}
+
 // tlsConfig returns nil when the settings name no certificate.
 func (s *Settings) tlsConfig() (*tls.Config, error) {
 	if s.TLSCertificate == "" {
@@ -60,6 +70,10 @@
 		return nil, &SettingError{"tls-client-ca", s.TLSClientCA, "a PEM file with certificates"}
 	}
 	c.ClientAuth = tls.RequireAndVerifyClientCert
+	if s.OperatorTokenFile != "" {
+		// A token is enough without a certificate.
+		c.ClientAuth = tls.VerifyClientCertIfGiven
+	}
 	return c, nil
 }
 
