Show in a plan what a change does to buckets and flows

Cause: a plan listed the declared differences only, and apply and plan took the file of another deployment, whose services replace those in force.

Change: a plan names each upstream that gains or loses buckets, in percent, and counts the established flows on those that lose some and the flows that a removal ends, by the daemons' statuses; a count without some daemons is a lower bound.

--- a/daemon/operatordeclaration.go
+++ b/daemon/operatordeclaration.go
@@ -10,16 +10,26 @@
 	"github.com/fulmarfield/fulmarfield/config/declaration"
 )
 
-// Plan says what a declaration would change, without changing anything.
+// Plan says what a declaration would change against the configuration in force here, without
+// changing anything.
 func (s operatorService) Plan(ctx context.Context, r *connect.Request[pb.PlanRequest]) (*connect.Response[pb.PlanResponse], error) {
-	basis, _ := s.newCensus().gather(ctx, "")
+	basis, statuses := s.newCensus().gather(ctx, "")
 	response := &pb.PlanResponse{Basis: basis}
 	d, errs := declaration.Parse(r.Msg.GetFileName(), r.Msg.GetDeclaration())
 	if len(errs) > 0 {
 		response.Errors = errs.Lines()
 		return connect.NewResponse(response), nil
 	}
-	_, response.Lines = declaration.Build(s.n.relay.Current().Proto, d, "plan", "", time.Now())
+	previous := s.n.relay.Current().Proto
+	if err := declaration.CheckDeployment(previous, d); err != nil {
+		response.Errors = []string{r.Msg.GetFileName() + ": " + err.Error()}
+		return connect.NewResponse(response), nil
+	}
+	next, lines := declaration.Build(previous, d, "plan", "", time.Now())
+	if len(lines) == 0 {
+		lines = []string{"nothing changes"}
+	}
+	response.Lines = append(lines, planEffects(previous, next, statuses, basis.GetMissing())...)
 	return connect.NewResponse(response), nil
 }
 
