Show in a plan what a change does to buckets and flows

Change: a plan names each upstream that gains or loses buckets, in percent, and counts the established flows on those that lose some and the flows that a removal ends, by the daemons' statuses; a count without some daemons is a lower bound. A test covers the expected generation and a repeated apply.

--- /dev/null
+++ b/daemon/declaration_test.go
@@ -0,0 +1,70 @@
+package daemon_test
+
+import (
+	"context"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	"connectrpc.com/connect"
+	. "github.com/onsi/gomega"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/test/testcluster"
+)
+
+func (c operators) plan(text string) *pb.PlanResponse {
+	c.t.Helper()
+	r, err := c.Daemon("schuur-1").Node.OperatorService().Plan(context.Background(),
+		connect.NewRequest(&pb.PlanRequest{FileName: "new.yaml", Declaration: []byte(text)}))
+	c.Expect(err).NotTo(HaveOccurred())
+	return r.Msg
+}
+
+func (c operators) apply(text, id string, expected uint64) *pb.ApplyResponse {
+	c.t.Helper()
+	r, err := c.Daemon("winkel-1").Node.OperatorService().Apply(context.Background(), connect.NewRequest(&pb.ApplyRequest{
+		FileName: "new.yaml", Declaration: []byte(text), ChangeId: id, Author: "anna", ExpectedGeneration: expected, WaitMs: 3000,
+	}))
+	c.Expect(err).NotTo(HaveOccurred())
+	return r.Msg
+}
+
+// Guards against a plan that hides the flows that a change would break, and against an apply
+// that overwrites another operator's change, another deployment, or changes something twice.
+func TestPlanAndApply(t *testing.T) {
+	withCluster(t, testcluster.Options{}, func(c operators) {
+		f := c.open("bindery")
+		c.ask(f)
+		upstream := strings.Split(c.rows("schuur-1", "show flows of "+f.Key().Caller().String())[0], " | ")[2]
+		same := string(c.File)
+		c.Expect(c.plan(same).GetLines()).To(ContainElement("no bucket moves; no established flow is touched"))
+		without := regexp.MustCompile(`(?m)^.*\bname: `+upstream+`\b.*\n`).ReplaceAllString(same, "")
+		c.Expect(without).NotTo(Equal(same))
+		lines := c.plan(without).GetLines()
+		c.Expect(lines).To(ContainElements(
+			"bindery: upstream "+upstream+" loses buckets, 6.7 % to 0.0 %",
+			"bindery: removing upstream "+upstream+" ends 1",
+			"established flows on upstreams that lose buckets: 1; flows that break: 1"))
+		c.Expect(c.rows("schuur-1", "show history")).To(HaveLen(1), "a plan changes nothing")
+
+		c.Expect(c.apply(without, "apply-2", 7).GetOutcome()).To(Equal(pb.Outcome_OUTCOME_REFUSED), "expected generation")
+		done := c.apply(without, "apply-2", 1)
+		c.Expect(done.GetOutcome()).To(Equal(pb.Outcome_OUTCOME_COMMITTED))
+		c.Expect(done.GetInForce()).To(HaveLen(6))
+		for _, id := range []string{"apply-2", "apply-3"} {
+			again := c.apply(without, id, 0)
+			c.Expect(again.GetOutcome()).To(Equal(pb.Outcome_OUTCOME_UNCHANGED))
+			c.Expect(again.GetGeneration()).To(Equal(uint64(2)))
+		}
+		other, err := os.ReadFile("../deployments/kelpiestone-engraving.yaml")
+		c.Expect(err).NotTo(HaveOccurred())
+		c.Expect(c.plan(string(other)).GetErrors()).To(ConsistOf(ContainSubstring("declaration is of another deployment")))
+		refused := c.apply(string(other), "apply-4", 0)
+		c.Expect(refused.GetOutcome()).To(Equal(pb.Outcome_OUTCOME_REFUSED))
+		c.Expect(refused.GetReason()).To(ContainSubstring("declaration is of another deployment"))
+		faulty := c.apply("zones: 3\n", "apply-5", 0)
+		c.Expect(faulty.GetErrors()).To(ContainElement(MatchRegexp(`^new.yaml:\d+: zones`)))
+	})
+}
--- a/daemon/operatordeclaration.go
+++ b/daemon/operatordeclaration.go
@@ -10,19 +10,38 @@
 	"github.com/fulmarfield/fulmarfield/config/declaration"
 )
 
-// Plan says what a declaration would change, without changing anything.
+// Plan says what a declaration would change against the configuration in force here, without
+// changing anything.
 func (s operatorService) Plan(ctx context.Context, r *connect.Request[pb.PlanRequest]) (*connect.Response[pb.PlanResponse], error) {
-	basis, _ := s.newCensus().gather(ctx, "")
+	basis, statuses := s.newCensus().gather(ctx, "")
 	response := &pb.PlanResponse{Basis: basis}
 	d, errs := declaration.Parse(r.Msg.GetFileName(), r.Msg.GetDeclaration())
 	if len(errs) > 0 {
 		response.Errors = errs.Lines()
 		return connect.NewResponse(response), nil
 	}
-	_, response.Lines = declaration.Build(s.n.relay.Current().Proto, d, "plan", "", time.Now())
+	lines, err := planLines(s.n.relay.Current().Proto, d, statuses, basis.GetMissing())
+	response.Lines = lines
+	if err != nil {
+		response.Errors = []string{r.Msg.GetFileName() + ": " + err.Error()}
+	}
 	return connect.NewResponse(response), nil
 }
 
+// planLines lists the differences and their effects. It returns
+// declaration.ErrOtherDeployment.
+func planLines(previous *pb.Configuration, d *declaration.Declaration, statuses []*pb.StatusResponse, missing []string) ([]string, error) {
+	if err := declaration.CheckDeployment(previous, d); err != nil {
+		return nil, err
+	}
+	next, lines := declaration.Build(previous, d, "plan", "", time.Now())
+	if len(lines) == 0 {
+		lines = append(lines, "nothing changes")
+	}
+	lines = append(lines, planEffects(previous, next, statuses, missing)...)
+	return lines, nil
+}
+
 // Apply commits a declaration and waits until it is in force.
 func (s operatorService) Apply(ctx context.Context, r *connect.Request[pb.ApplyRequest]) (*connect.Response[pb.ApplyResponse], error) {
 	m := r.Msg
