Add docs/operations.md, compared with the code by tests

Cause: nothing told operators what a log event or a counter means, or what to do about it, and a settings table by hand goes out of date.

Change: the page covers installation, settings, drains, replacement of a VM, roll-out, roll-back, a zone cut off, a platform outage and alarms. Tests compare the event names, the counter families and the settings with the code; a flag of the test writes the settings table.

--- /dev/null
+++ b/daemon/page_test.go
@@ -0,0 +1,96 @@
+package daemon
+
+import (
+	"flag"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"reflect"
+	"regexp"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+var updatePage = flag.Bool("update-page", false, "write the settings table to docs/operations.md")
+
+const operationsPage = "../docs/operations.md"
+
+// sources returns the text of the product's code, without stand-ins, tests and tools.
+func sources(g Gomega) string {
+	var text strings.Builder
+	g.Expect(filepath.WalkDir("..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if d.IsDir() && regexp.MustCompile(`^(standin|experiment|test|internal|api|cmd|caller|bin|spec|\.git)$`).MatchString(d.Name()) {
+			return fs.SkipDir
+		}
+		if !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return nil
+		}
+		data, err := os.ReadFile(path)
+		text.Write(data)
+		return err
+	})).To(Succeed())
+	return text.String()
+}
+
+// names returns the distinct first groups of a pattern's matches.
+func names(text string, patterns ...string) map[string]bool {
+	found := map[string]bool{}
+	for _, p := range patterns {
+		for _, m := range regexp.MustCompile(p).FindAllStringSubmatch(text, -1) {
+			found[m[1]] = true
+		}
+	}
+	return found
+}
+
+func section(g Gomega, page, title string) string {
+	_, rest, found := strings.Cut(page, "\n## "+title+"\n")
+	g.Expect(found).To(BeTrue(), title)
+	rest, _, _ = strings.Cut(rest, "\n## ")
+	return rest
+}
+
+// Guards against a log event or a counter family that the page does not explain, and against a
+// page that explains one that is gone.
+func TestPageListsEventsAndCounters(t *testing.T) {
+	g := NewWithT(t)
+	data, err := os.ReadFile(operationsPage)
+	g.Expect(err).NotTo(HaveOccurred())
+	code := sources(g)
+	events := names(code, `Str\("event", *"([a-z_]+)"`, `\bevent\w* +:?= "([a-z_]+)"`, `\bevent = "([a-z_]+)"`)
+	g.Expect(names(section(g, string(data), "Log events"), "(?m)^\\| `([a-z_]+)\\*?` \\|")).To(Equal(events))
+	families := names(code, `(?:Count|Add)\("([a-z_]+)\.`, `"(retry|refusal|drop|config)\.[a-z_]*"`)
+	g.Expect(names(section(g, string(data), "Counters"), "(?m)^\\| `([a-z_]+)\\.\\*` \\|")).To(Equal(families))
+}
+
+// Guards against a settings table that differs from the flags.
+func TestPageListsSettings(t *testing.T) {
+	g := NewWithT(t)
+	data, err := os.ReadFile(operationsPage)
+	g.Expect(err).NotTo(HaveOccurred())
+	table := "| flag | variable | default | meaning |\n|---|---|---|---|\n"
+	for _, f := range reflect.VisibleFields(reflect.TypeFor[Settings]()) {
+		value := f.Tag.Get("default")
+		if f.Tag.Get("required") == "true" {
+			value = "required"
+		}
+		table += fmt.Sprintf("| `--%s` | `%s` | %s | %s |\n", f.Tag.Get("long"), f.Tag.Get("env"), value, f.Tag.Get("description"))
+	}
+	const begin, end = "<!-- settings: go test ./daemon -run Page -update-page -->\n", "<!-- end of settings -->"
+	before, rest, found := strings.Cut(string(data), begin)
+	g.Expect(found).To(BeTrue())
+	_, after, found := strings.Cut(rest, end)
+	g.Expect(found).To(BeTrue())
+	want := before + begin + table + end + after
+	if *updatePage {
+		g.Expect(os.WriteFile(operationsPage, []byte(want), 0o644)).To(Succeed())
+		return
+	}
+	g.Expect(string(data)).To(Equal(want))
+}
