List the counters of forwarded packets

Cause: the family "forward" is registered without Count or Add, so that the comparison of the page with the code did not see it.

--- a/daemon/page_test.go
+++ b/daemon/page_test.go
@@ -65,7 +65,7 @@
 	code := sources(g)
 	events := names(code, `Str\("event", *"([a-z_]+)"`, `\bevent\w* +:?= "([a-z_]+)"`, `\bevent = "([a-z_]+)"`)
 	g.Expect(names(section(g, string(data), "Log events"), "(?m)^\\| `([a-z_]+)\\*?` \\|")).To(Equal(events))
-	families := names(code, `(?:Count|Add)\("([a-z_]+)\.`, `"(retry|refusal|drop|config)\.[a-z_]*"`)
+	families := names(code, `(?:Count|Add)\("([a-z_]+)\.`, `"(retry|refusal|drop|config|forward)\.[a-z_]*"`)
 	g.Expect(names(section(g, string(data), "Counters"), "(?m)^\\| `([a-z_]+)\\.\\*` \\|")).To(Equal(families))
 }
 
