Run the janitor, tell joined daemons the states of upstreams, and take forwards without a copy

Cause: the janitor was built and never run, so that old content objects stayed in the store. A daemon that joined knew of no upstream's state until it changed. Forwards were decoded into messages although the messenger has a path without. Two functions of the dispatcher held the same logic. Change: a janitor task on watchers, announcements a second after a member appears, HandleForward, one function for packets at the admission; the golden sessions share their start.

--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -78,21 +78,20 @@
 	}
 }
 
-// forwarded takes a packet that another daemon passed on.
-func (d *dispatcher) forwarded(f *pb.Forward) {
-	raw := f.GetPacket()
+// forwarded takes a packet that another daemon passed on. It does not keep raw.
+func (d *dispatcher) forwarded(_ membership.DaemonID, hops uint32, role pb.ForwardRole, raw []byte) {
 	h, err := wire.ParseHeader(raw)
 	if err != nil {
 		d.counters.Drop(decodeReason(err))
 		return
 	}
-	switch f.GetRole() {
+	switch role {
 	case pb.ForwardRole_FORWARD_ROLE_FLOW_OWNER:
-		d.toFlowOwner(h, raw, f.GetHops())
+		d.toFlowOwner(h, raw, hops)
 	case pb.ForwardRole_FORWARD_ROLE_ADMISSION:
-		d.toAdmission(h, raw, f.GetHops())
+		d.toAdmission(h, raw, hops)
 	case pb.ForwardRole_FORWARD_ROLE_ANSWER:
-		d.fromUpstream(h, raw, f.GetHops())
+		d.fromUpstream(h, raw, hops)
 	default:
 		d.counters.Drop("unknown_role")
 	}
@@ -113,33 +112,35 @@
 }
 
 func (d *dispatcher) toAdmission(h wire.Header, raw []byte, hops uint32) {
-	resource, ok := d.admissionOf(h)
-	if !ok {
-		return
-	}
-	to, active, ok := d.router.Route(resource)
-	if !active {
-		d.forward(to, ok, hops, pb.ForwardRole_FORWARD_ROLE_ADMISSION, raw)
-		return
-	}
-	if p, ok := d.decode(raw); ok {
+	if p := d.atAdmission(h, raw, hops, pb.ForwardRole_FORWARD_ROLE_ADMISSION); p != nil {
 		d.admitter.HandleCaller(p)
 	}
 }
 
 func (d *dispatcher) fromUpstream(h wire.Header, raw []byte, hops uint32) {
+	if p := d.atAdmission(h, raw, hops, pb.ForwardRole_FORWARD_ROLE_ANSWER); p != nil {
+		d.admitter.HandleUpstream(p)
+	}
+}
+
+// atAdmission returns the decoded packet when this daemon holds the admission of its upstream,
+// and otherwise forwards or drops it and returns nil.
+func (d *dispatcher) atAdmission(h wire.Header, raw []byte, hops uint32, role pb.ForwardRole) *pb.Packet {
 	resource, ok := d.admissionOf(h)
 	if !ok {
-		return
+		return nil
 	}
 	to, active, ok := d.router.Route(resource)
 	if !active {
-		d.forward(to, ok, hops, pb.ForwardRole_FORWARD_ROLE_ANSWER, raw)
-		return
+		d.forward(to, ok, hops, role, raw)
+		return nil
 	}
-	if p, ok := d.decode(raw); ok {
-		d.admitter.HandleUpstream(p)
+	p := &pb.Packet{}
+	if err := proto.Unmarshal(raw, p); err != nil {
+		d.counters.Drop("malformed")
+		return nil
 	}
+	return p
 }
 
 // admissionOf returns the admission of the packet's upstream. A packet whose service address
@@ -173,15 +174,6 @@
 	}
 }
 
-func (d *dispatcher) decode(raw []byte) (*pb.Packet, bool) {
-	p := &pb.Packet{}
-	if err := proto.Unmarshal(raw, p); err != nil {
-		d.counters.Drop("malformed")
-		return nil, false
-	}
-	return p, true
-}
-
 // routedToAdmission passes a packet to the admission that its header names; it is the output
 // of steering and of requests that are retried at another upstream.
 func (d *dispatcher) routedToAdmission(raw []byte) {
--- a/daemon/dispatch_test.go
+++ b/daemon/dispatch_test.go
@@ -111,7 +111,7 @@
 	d := newDispatcher(r)
 	raw := encoded(t, &pb.Packet{Kind: pb.Kind_KIND_OPEN})
 	for hops := range uint32(maxHops + 1) {
-		d.forwarded(&pb.Forward{Hops: hops, Role: pb.ForwardRole_FORWARD_ROLE_FLOW_OWNER, Packet: raw})
+		d.forwarded("sender", hops, pb.ForwardRole_FORWARD_ROLE_FLOW_OWNER, raw)
 	}
 	g.Expect(r.hops).To(Equal([]uint32{1, 2, 3, 4}))
 	g.Expect(d.counters.Get("drop.hop_limit")).To(Equal(int64(1)))
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -117,7 +117,13 @@
 	n.dispatcher = &dispatcher{conn: o.DataConn, config: n.relay, forwarder: n.messenger, counters: o.Counters}
 	n.buildRoles(o)
 	n.messenger.Handle(n.handlePeer)
-	n.membership.Subscribe(func(previous, current *membership.View) { n.ownership.OnViewChange(previous, current) })
+	n.messenger.HandleForward(n.dispatcher.forwarded)
+	n.membership.Subscribe(func(previous, current *membership.View) {
+		n.ownership.OnViewChange(previous, current)
+		if hasNewMember(previous, current) {
+			time.AfterFunc(announceDelay, n.announceUpstreams)
+		}
+	})
 	n.relay.Subscribe(func(_, _ *config.Snapshot) { n.ownership.OnConfigurationChange() })
 	return n
 }
@@ -194,8 +200,6 @@
 
 func (n *Node) handlePeer(from membership.DaemonID, m *pb.PeerDatagram) {
 	switch body := m.GetBody().(type) {
-	case *pb.PeerDatagram_Forward:
-		n.dispatcher.forwarded(body.Forward)
 	case *pb.PeerDatagram_UpstreamNotice:
 		n.steerer.HandlePeer(from, m)
 		n.load.Learn(body.UpstreamNotice)
@@ -206,6 +210,30 @@
 	}
 }
 
+// announceDelay lets a daemon that joined learn of the others, whose messages it refuses before.
+const announceDelay = time.Second
+
+// hasNewMember reports whether a daemon became reachable between two views.
+func hasNewMember(previous, current *membership.View) bool {
+	for _, m := range current.Members {
+		before, known := previous.Member(m.ID)
+		if m.CanOwn() && (!known || !before.IsReachable()) {
+			return true
+		}
+	}
+	return false
+}
+
+// announceUpstreams tells all daemons the states of the upstreams whose admissions are held
+// here: one that joined knows none, and states are sent only on change.
+func (n *Node) announceUpstreams() {
+	for _, service := range n.relay.Current().Services() {
+		for _, u := range service.GetUpstreams() {
+			n.admissions.Announce(u.GetNumber())
+		}
+	}
+}
+
 // notifyOwners sends a change of an upstream's state to all daemons, this one included.
 func (n *Node) notifyOwners(notice *pb.UpstreamNotice) {
 	for _, m := range n.membership.View().Members {
@@ -238,7 +266,7 @@
 	tasks := map[string]func(context.Context) error{
 		"messenger": n.messenger.Run, "membership": n.membership.Run, "ownership": n.ownership.Run,
 		"relay": n.relay.Run, "steering": n.steerer.Run, "request": n.runAdmissions, "ingress": n.readPackets,
-		"drain": n.followDeclaredState,
+		"drain": n.followDeclaredState, "janitor": n.runJanitor,
 	}
 	for name, run := range tasks {
 		group.Go(func() error {
@@ -255,6 +283,15 @@
 	return group.Wait()
 }
 
+// janitorInterval is the time between two rounds that remove old content objects.
+const janitorInterval = 10 * time.Minute
+
+// runJanitor removes old content objects while this daemon is one of its zone's watchers.
+func (n *Node) runJanitor(ctx context.Context) error {
+	holder := fmt.Sprintf("%s/%d", n.self.ID, n.membership.SelfIncarnation())
+	return commit.NewJanitor(n.store, holder, n.counters, n.logger).Run(ctx, janitorInterval, n.relay.IsWatcher)
+}
+
 func (n *Node) runAdmissions(ctx context.Context) error {
 	n.admissions.Run(ctx)
 	return nil
--- a/test/golden/director_test.go
+++ b/test/golden/director_test.go
@@ -18,12 +18,8 @@
 // out of order, an upstream that loses track of a flow, and two operators at once.
 func TestDirectorDay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSession(t, "../../deployments/kelpiestone-engraving.yaml", 2)
+		s := startSession(t, "kelpiestone-engraving", 2, "tay-a-1", "isla")
 		defer s.Close()
-		r, err := s.Apply(context.Background(), "tay-a-1", "apply-1", "isla")
-		s.g.Expect(err).NotTo(gomega.HaveOccurred())
-		s.log("operator isla: apply kelpiestone-engraving.yaml [apply-1]: generation %d, in force on %d daemons", r.GetGeneration(), len(r.GetInForce()))
-		s.wait(2 * time.Second)
 
 		director := s.open("director", "proof-desk")
 		sheets := s.open("printer", "sheet-print")
@@ -46,7 +42,7 @@
 		loseCommitAnswer(s)
 
 		other := s.upstreamOf(sheets)
-		_, err = s.Upstreams[other].Mute(1)
+		_, err := s.Upstreams[other].Mute(1)
 		s.g.Expect(err).NotTo(gomega.HaveOccurred())
 		s.log("%s loses track of the sessions that are open and serves new ones", other)
 		another := s.openOn(other, "sheet-print")
--- a/test/golden/florist_test.go
+++ b/test/golden/florist_test.go
@@ -27,12 +27,8 @@
 // of order, a lost commit answer and two operators at once.
 func TestFloristDay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSession(t, "../../deployments/hopkrans-hoeve.yaml", 1)
+		s := startSession(t, "hopkrans-hoeve", 1, "schuur-1", "anna")
 		defer s.Close()
-		r, err := s.Apply(context.Background(), "schuur-1", "apply-1", "anna")
-		s.g.Expect(err).NotTo(gomega.HaveOccurred())
-		s.log("operator anna: apply hopkrans-hoeve.yaml [apply-1]: generation %d, in force on %d daemons", r.GetGeneration(), len(r.GetInForce()))
-		s.wait(2 * time.Second)
 
 		florist := s.open("florist", "bindery")
 		photos := s.open("shopper", "galerij")
--- a/test/golden/session_test.go
+++ b/test/golden/session_test.go
@@ -35,6 +35,17 @@
 	s.elapsed += d
 }
 
+// startSession starts a deployment and applies its declaration at a daemon.
+func startSession(t *testing.T, deployment string, seed uint64, at, author string) *session {
+	s := newSession(t, "../../deployments/"+deployment+".yaml", seed)
+	r, err := s.Apply(context.Background(), at, "apply-1", author)
+	s.g.Expect(err).NotTo(gomega.HaveOccurred())
+	s.log("operator %s: apply %s.yaml [apply-1]: generation %d, in force on %d daemons",
+		author, deployment, r.GetGeneration(), len(r.GetInForce()))
+	s.wait(2 * time.Second)
+	return s
+}
+
 func newSession(t *testing.T, declaration string, seed uint64) *session {
 	c := testcluster.Start(t, testcluster.Options{Declaration: declaration, Seed: seed})
 	s := &session{Cluster: c, g: gomega.NewWithT(t), t: t}
