--- /dev/null
+++ b/test/failure/drain_test.go
@@ -0,0 +1,50 @@
+package failure
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fulmarfield/fulmarfield/test/testcluster"
+)
+
+// newWorkLimit is the time after a drain from which an upstream must get no new flow.
+const newWorkLimit = 3 * time.Second
+
+// Guards against a draining upstream that still gets new flows 3 s after the drain, also when
+// the platform is cut from one zone, so that the drain reaches its daemons by peers only.
+func TestDrainingUpstreamGetsNoNewFlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := testcluster.Start(t, testcluster.Options{Declaration: hopkrans, Seed: 1})
+		defer c.Close()
+		_, err := c.Apply(context.Background(), "schuur-1", "apply-1", "test")
+		g.Expect(err).NotTo(HaveOccurred())
+		c.Cut(2, testcluster.PlatformZone)
+		time.Sleep(time.Second)
+		openMany(g, c, 100)
+		drained := c.Upstreams["galerij-1"]
+		before := drained.Report(false).FlowsKnown
+		g.Expect(before).To(BeNumerically(">", 0))
+		command(t, c, "schuur-1", "drain upstream galerij-1")
+		time.Sleep(newWorkLimit)
+		limit := time.Now().UnixMilli()
+		openMany(g, c, 200)
+		report := drained.Report(false)
+		g.Expect(report.LastOpenMS).To(BeNumerically("<", limit))
+		g.Expect(report.FlowsKnown).To(Equal(before), "the flows that it has stay")
+	})
+}
+
+// openMany opens flows to galerij and leaves them open.
+func openMany(g *WithT, c *testcluster.Cluster, n int) {
+	for range n {
+		ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
+		_, err := c.Open(ctx, "galerij")
+		cancel()
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+}
