--- a/daemon/app.go
+++ b/daemon/app.go
@@ -14,6 +14,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/rs/zerolog"
+	"go.uber.org/dig"
 	"go.uber.org/fx"
 
 	"github.com/fulmarfield/fulmarfield/api/fulmarfield/v1/fulmarfieldv1connect"
@@ -49,33 +50,37 @@
 	failed := make(chan error, 1)
 	app := fx.New(Module(settings, failed), fx.NopLogger)
 	if err := app.Start(context.Background()); err != nil {
-		fmt.Fprintln(os.Stderr, rootError(err))
+		reportStart(settings, dig.RootCause(err))
 		return startExit(err)
 	}
-	return serve(app, settings, failed)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	return serve(app, settings, failed, signals)
 }
 
-func startExit(err error) int {
+// reportStart tells why the daemon did not start: a bad setting as a line of text, an address
+// that cannot be bound as a log event.
+func reportStart(settings *Settings, err error) {
 	var setting *SettingError
-	if errors.As(err, &setting) || errors.Is(err, syscall.EADDRINUSE) || errors.Is(err, syscall.EADDRNOTAVAIL) {
-		return exitSettings
+	if errors.As(err, &setting) {
+		fmt.Fprintln(os.Stderr, setting)
+		return
 	}
-	return exitFailed
+	logger := settings.Logger()
+	logger.Error().Str("event", eventListenFailed).Err(err).Msg("")
 }
 
-func rootError(err error) error {
+func startExit(err error) int {
 	var setting *SettingError
-	if errors.As(err, &setting) {
-		return setting
+	if errors.As(err, &setting) || errors.Is(err, syscall.EADDRINUSE) || errors.Is(err, syscall.EADDRNOTAVAIL) {
+		return exitSettings
 	}
-	return err
+	return exitFailed
 }
 
 // serve waits for a signal or a failure and shuts down gracefully; a second signal ends at
 // once.
-func serve(app *fx.App, settings *Settings, failed <-chan error) int {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+func serve(app *fx.App, settings *Settings, failed <-chan error, signals <-chan os.Signal) int {
 	logger := settings.Logger()
 	select {
 	case err := <-failed:
