Lend the slots of requests whose flow does not answer a probe

Lending by unanswered repeats alone was tried and reverted, since it also gave queued requests to an upstream that was frozen as a whole. Change: the first probe comes after 1 s instead of 3 s; half a second without an acknowledgement lends the slot until the flow is heard from or the request ends.

--- a/load/tracker.go
+++ b/load/tracker.go
@@ -69,6 +69,8 @@
 	report   *pb.LoadReport
 	reported time.Time
 	foreign  int // work that a report shows beyond the own count
+
+	lent int // slots of requests on dead flows that others may use
 }
 
 // NewTracker returns a tracker for an upstream with the given number of slots.
@@ -226,9 +228,16 @@
 	if t.inProgress > 0 && now.Sub(t.reported) < reportLife {
 		used += t.foreign
 	}
-	return max(usable-used, 0)
+	return max(usable+min(t.lent, t.slots)-used, 0)
 }
 
+// Lend lets another request use the slot of one that the upstream does not run any more, until
+// Reclaim.
+func (t *Tracker) Lend() { t.lent++ }
+
+// Reclaim ends a Lend.
+func (t *Tracker) Reclaim() { t.lent = max(t.lent-1, 0) }
+
 // ExpectedWait returns how long a request waits behind queued others; 0 until a service time
 // was measured.
 func (t *Tracker) ExpectedWait(now time.Time, queued int) time.Duration {
--- a/request/answer.go
+++ b/request/answer.go
@@ -98,6 +98,7 @@
 	r.status, r.reason = r.answer[0].GetStatus(), r.answer[0].GetReason()
 	delete(a.busy, r.key)
 	r.slot = false
+	a.reclaim(r)
 	if r.state == running {
 		a.tracker.Finished(now, now.Sub(r.sent))
 	} else {
--- a/request/dispatch.go
+++ b/request/dispatch.go
@@ -125,6 +125,7 @@
 func (a *admission) free(r *record) {
 	if r.slot {
 		r.slot = false
+		a.reclaim(r)
 		delete(a.busy, r.key)
 		a.tracker.Abandoned()
 	}
--- a/request/health_test.go
+++ b/request/health_test.go
@@ -142,6 +142,35 @@
 	})
 }
 
+// Guards against slots that requests of half-open flows hold until their deadline, so that the
+// upstream serves nobody else, and against lending those of requests that run long.
+func TestHalfOpenFlowsLendTheirSlots(t *testing.T) {
+	for name, isMuted := range map[string]bool{"half-open": true, "long": false} {
+		t.Run(name, func(t *testing.T) {
+			simulate(t, 1, request.Tuning{}, func(w *world) {
+				u := w.upstreams[1]
+				var answers []chan result
+				for range u.slots {
+					f := w.flow(1)
+					w.g.Expect((<-w.ask(f, "works", true, time.Second)).Status).To(Equal(ok))
+					u.set(func() { u.mute[f.Key()], u.frozen = isMuted, !isMuted })
+					answers = append(answers, w.ask(f, "lost", false, 6*time.Second))
+					time.Sleep(10 * time.Millisecond)
+					u.set(func() { u.frozen = false })
+				}
+				other := w.flow(1)
+				time.Sleep(2 * time.Second)
+				start := time.Now()
+				w.g.Expect((<-w.ask(other, "x", true, 8*time.Second)).Status).To(Equal(ok))
+				w.g.Expect(time.Since(start) < time.Second).To(Equal(isMuted), "after %v", time.Since(start))
+				for _, c := range answers {
+					w.g.Expect((<-c).Status).To(Equal(unknown))
+				}
+			})
+		})
+	}
+}
+
 // Guards against resetting the flows of an upstream that is wholly cut off for a while.
 func TestSilentUpstreamKeepsFlows(t *testing.T) {
 	simulate(t, 1, request.Tuning{}, func(w *world) {
--- a/request/probe.go
+++ b/request/probe.go
@@ -8,11 +8,14 @@
 )
 
 const (
-	// probeAfter and probeInterval give three probes and a verdict 9 s after the first
+	// probeAfter and probeInterval give three probes and a verdict 7 s after the first
 	// unanswered packet, within the limit of 10 s.
-	probeAfter    = 3 * time.Second
+	probeAfter    = time.Second
 	probeInterval = 2 * time.Second
 	probeCount    = 3
+	// lendAfter is far above the time of an acknowledgement. An unanswered probe then tells a
+	// dead flow from a request that runs long.
+	lendAfter = 500 * time.Millisecond
 	// maxWatches bounds the memory for flows with unanswered packets.
 	maxWatches = 65536
 )
@@ -68,8 +71,8 @@
 	delete(a.watches, k)
 	for _, r := range a.busy {
 		if r.key.flow == k && r.state == running && !r.spilled {
+			a.reclaim(r)
 			a.watch(k, now)
-			break
 		}
 	}
 	return w.probes > 0
@@ -104,6 +107,29 @@
 	}
 }
 
+// lendSlots lets other requests use the slots of those whose flow does not answer a probe.
+// Without this, a few flows that something between the two ends has lost track of hold all
+// slots of an upstream, which does not use them, until their requests' deadlines.
+func (a *admission) lendSlots(now time.Time) {
+	for _, r := range a.busy {
+		w := a.watches[r.key.flow]
+		if r.lent || r.state != running || w == nil || w.probes == 0 || now.Sub(w.last) < lendAfter {
+			continue
+		}
+		r.lent = true
+		a.tracker.Lend()
+		a.counters().Count("request.slot_lent")
+	}
+}
+
+// reclaim ends the lending of a slot, when its flow is heard from or its request ends.
+func (a *admission) reclaim(r *record) {
+	if r.lent {
+		r.lent = false
+		a.tracker.Reclaim()
+	}
+}
+
 // breakHalfOpen resets a flow that the upstream no longer knows, on both sides.
 func (a *admission) breakHalfOpen(t target, k wire.FlowKey) {
 	a.counters().Refusal(pb.Reason_REASON_HALF_OPEN)
--- a/request/record.go
+++ b/request/record.go
@@ -55,6 +55,8 @@
 	outgoing *pb.Packet
 	repeatAt time.Time
 	interval time.Duration
+	// lent is true while another request may use the slot, since the flow looks dead.
+	lent bool
 
 	// slot is true while the request occupies a slot, also after it was given up, until
 	// freeAt.
--- a/request/retry.go
+++ b/request/retry.go
@@ -13,6 +13,7 @@
 	wasHere := r.state == running
 	delete(a.busy, r.key)
 	r.slot = false
+	a.reclaim(r)
 	a.tracker.Refused(now, a.engine.jitter())
 	reason := p.GetReason()
 	if reason == pb.Reason_REASON_UNSPECIFIED {
--- a/request/task.go
+++ b/request/task.go
@@ -76,6 +76,7 @@
 	a.expireBusy(t, now)
 	a.repeat(t, now)
 	a.probe(t, now)
+	a.lendSlots(now)
 	if isElsewhere {
 		a.handBack(now)
 	}
