Join again after an undrain without a restart of the process

Cause: membership had no way back from a leave, so a daemon that the configuration drained and then undrained stayed out until its process was restarted.

Change: Membership.Rejoin takes a new incarnation and announces it, and Ownership.Rejoin claims the daemon's share. The daemon follows its declared state in both directions and is ready once it has its share. A shutdown is not ended by an undrain. The events daemon_undrained, daemon_rejoined and rejoining replace daemon_undrain_needs_restart.

--- a/daemon/logging.go
+++ b/daemon/logging.go
@@ -16,11 +16,12 @@
 	eventShutdownTimeout = "shutdown_timeout"
 	eventOperatorRefused = "operator_refused"
 	eventCommand         = "operator_command"
-	// Events of a drain by the configuration.
-	eventDaemonDraining      = "daemon_draining"
-	eventDaemonDrained       = "daemon_drained"
-	eventDrainIncomplete     = "daemon_drain_incomplete"
-	eventUndrainNeedsRestart = "daemon_undrain_needs_restart"
+	// Events of a drain by the configuration and of its end.
+	eventDaemonDraining  = "daemon_draining"
+	eventDaemonDrained   = "daemon_drained"
+	eventDrainIncomplete = "daemon_drain_incomplete"
+	eventDaemonUndrained = "daemon_undrained"
+	eventDaemonRejoined  = "daemon_rejoined"
 )
 
 func newLogger(w io.Writer, name string, level zerolog.Level) zerolog.Logger {
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -70,8 +71,14 @@
 	counters   *telemetry.Counters
 	logger     zerolog.Logger
 	leaving    atomic.Bool
-	// drained is set once the daemon has left because the configuration drains it.
+	// drained is set while the daemon is out because the configuration drains it.
 	drained atomic.Bool
+	// rejoining is set from an undrain until the daemon has claimed its share.
+	rejoining atomic.Bool
+	// leaveMu guards stopping, and makes each leave and each rejoin one step.
+	leaveMu sync.Mutex
+	// stopping is set when the process shuts down, which an undrain does not end.
+	stopping bool
 }
 
 // lateBinding breaks the construction cycle between membership, messenger and relay: each of
@@ -258,7 +265,9 @@
 func (n *Node) PeerService() peerServiceHandler { return peerService{n} }
 
 // IsReady reports whether the daemon has a configuration and serves.
-func (n *Node) IsReady() bool { return n.relay.Current().Generation() > 0 && !n.leaving.Load() }
+func (n *Node) IsReady() bool {
+	return n.relay.Current().Generation() > 0 && !n.leaving.Load() && !n.rejoining.Load()
+}
 
 // Run serves until ctx is cancelled. Use Leave first for a graceful shutdown.
 func (n *Node) Run(ctx context.Context) error {
@@ -320,13 +329,32 @@
 const drainPoll = 50 * time.Millisecond
 
 // Leave announces the leave, hands over all resources and waits until no request is in
-// progress here. It returns the context's error when ctx ends first.
+// progress here. It returns the context's error when ctx ends first. The process must end
+// after it.
 func (n *Node) Leave(ctx context.Context) error {
+	n.leaveMu.Lock()
+	n.stopping = true
+	n.announceLeave()
+	n.leaveMu.Unlock()
+	return n.handOver(ctx)
+}
+
+// announceLeave makes this daemon take on nothing new. n.leaveMu is held.
+func (n *Node) announceLeave() {
 	n.leaving.Store(true)
+	n.rejoining.Store(false)
 	n.membership.Leave()
+}
+
+// handOver waits until others have claimed all resources and no request is in progress here.
+func (n *Node) handOver(ctx context.Context) error {
 	if err := n.ownership.Leave(ctx); err != nil {
 		return fmt.Errorf("hand over: %w", err)
 	}
+	return n.finishRequests(ctx)
+}
+
+func (n *Node) finishRequests(ctx context.Context) error {
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
 	for n.admissions.InProgress() > 0 {
--- a/internal/clustertest/daemon.go
+++ b/internal/clustertest/daemon.go
@@ -141,6 +141,18 @@
 	return err
 }
 
+// Drain hands over as Leave does, until ctx ends, and stays up.
+func (d *Daemon) Drain(ctx context.Context) error {
+	d.Membership.Leave()
+	return d.Ownership.Leave(ctx)
+}
+
+// Undrain joins again after Drain has returned.
+func (d *Daemon) Undrain() {
+	d.Membership.Rejoin()
+	d.Ownership.Rejoin()
+}
+
 // Pause stops all sending and handling until Resume, as a stopped process would. Datagrams
 // wait in the socket.
 func (d *Daemon) Pause() {
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -104,6 +104,29 @@
 	m.announce(peers)
 }
 
+// Rejoin ends a leave: the daemon takes a new incarnation and may own resources again. It does
+// nothing when Leave was not called.
+func (m *Membership) Rejoin() {
+	m.mu.Lock()
+	if m.self.State != pb.MemberState_MEMBER_STATE_LEAVING {
+		m.mu.Unlock()
+		return
+	}
+	m.self.State = pb.MemberState_MEMBER_STATE_ALIVE
+	m.renew(time.Now())
+	m.publish()
+	peers := m.reachable()
+	m.mu.Unlock()
+	m.options.Logger.Info().Str("event", "rejoining").Send()
+	m.announce(peers)
+}
+
+// renew takes a new incarnation and passes it on. m.mu is held.
+func (m *Membership) renew(now time.Time) {
+	m.self.Incarnation = max(m.self.Incarnation+1, uint64(now.UnixNano()))
+	m.gossip.add(m.self, m.size())
+}
+
 // announce probes the peers at once, so that changes are known within one round trip.
 func (m *Membership) announce(peers []Member) {
 	for _, p := range peers {
--- a/membership/run.go
+++ b/membership/run.go
@@ -62,8 +62,7 @@
 	m.options.Counters.Count("membership.paused")
 	m.options.OnPause()
 	m.mu.Lock()
-	m.self.Incarnation = max(m.self.Incarnation+1, uint64(now.UnixNano()))
-	m.gossip.add(m.self, m.size())
+	m.renew(now)
 	clear(m.probes)
 	clear(m.relayed)
 	for _, e := range m.entries {
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -257,6 +257,13 @@
 	}
 }
 
+// Rejoin ends a leave: this daemon claims what it should hold again. It must have announced
+// itself to the members before, and no Leave may be in progress.
+func (o *Ownership) Rejoin() {
+	o.leaving.Store(false)
+	o.OnViewChange(nil, nil)
+}
+
 // hasOtherOwner reports whether another daemon can own resources.
 func (o *Ownership) hasOtherOwner() bool {
 	for _, m := range o.options.Viewer.View().Members {
--- a/test/failure/failure_test.go
+++ b/test/failure/failure_test.go
@@ -63,7 +63,29 @@
 		command(t, c, c.Declaration.Daemons[2].Name, "set limit of "+c.Declaration.Services[0].Name+" queue-length 40")
 	},
 	"a daemon leaves": func(t *testing.T, c *testcluster.Cluster) { leave(t, c, c.Declaration.Daemons[3].Name) },
-	"a daemon joins":  func(_ *testing.T, c *testcluster.Cluster) { join(c) },
+	"drain and undrain a daemon": func(t *testing.T, c *testcluster.Cluster) {
+		drainFor(t, c, 5*time.Second)
+	},
+	"undrain a daemon during its hand-over": func(t *testing.T, c *testcluster.Cluster) {
+		for _, pause := range []time.Duration{900 * time.Millisecond, 1100 * time.Millisecond, 1300 * time.Millisecond} {
+			drainFor(t, c, pause)
+			time.Sleep(2 * time.Second)
+		}
+	},
+	"drain a daemon again at once": func(t *testing.T, c *testcluster.Cluster) {
+		for range 2 {
+			drainFor(t, c, 3*time.Second)
+			time.Sleep(1200 * time.Millisecond)
+		}
+		command(t, c, c.Declaration.Daemons[0].Name, "drain daemon "+c.Declaration.Daemons[3].Name)
+	},
+	"drain a daemon while one leaves": func(t *testing.T, c *testcluster.Cluster) {
+		command(t, c, c.Declaration.Daemons[0].Name, "drain daemon "+c.Declaration.Daemons[3].Name)
+		time.Sleep(time.Second)
+		leave(t, c, c.Declaration.Daemons[1].Name)
+		command(t, c, c.Declaration.Daemons[0].Name, "undrain daemon "+c.Declaration.Daemons[3].Name)
+	},
+	"a daemon joins": func(_ *testing.T, c *testcluster.Cluster) { join(c) },
 	"one joins while one leaves": func(t *testing.T, c *testcluster.Cluster) {
 		join(c)
 		leave(t, c, c.Declaration.Daemons[1].Name)
@@ -84,6 +106,18 @@
 	},
 }
 
+// drainFor drains a daemon and undrains it after a while. The daemon must serve again.
+func drainFor(t *testing.T, c *testcluster.Cluster, wait time.Duration) {
+	name := c.Declaration.Daemons[3].Name
+	command(t, c, c.Declaration.Daemons[0].Name, "drain daemon "+name)
+	time.Sleep(wait)
+	command(t, c, c.Declaration.Daemons[1].Name, "undrain daemon "+name)
+	time.Sleep(5 * time.Second)
+	if s := c.Daemon(name).Node.Status(""); s.GetLeaving() || s.GetResourcesHeld() == 0 {
+		t.Errorf("%s after an undrain: leaving %t, %d resources", name, s.GetLeaving(), s.GetResourcesHeld())
+	}
+}
+
 func join(c *testcluster.Cluster) {
 	zone := c.Declaration.Zones[0]
 	c.StartDaemon(zone+"-3", zone, netip.MustParseAddr("127.1.1.3"))
