Run the examples of the operations page in a test

Cause: docs/operations.md described its procedures in prose only, and nothing checked that the commands work and leave flows whole.

A test runs each section in virtual time against daemons of its own with 40 open flows, follows the directives in the page's comments, compares the output, and checks that no flow broke. The alarms on exception.unreplicated, refusal.operator_token and pause_detected are caused by tests of other packages, as the page says; a test checks that no other alarm is without an example. The test cluster can send a datagram to a daemon.

Failed before: there was no such test. While it was written, counts of refused requests and the generation in an answer of unknown outcome differed between runs; the page shows N for them.

--- /dev/null
+++ b/daemon/examples_test.go
@@ -0,0 +1,173 @@
+package daemon_test
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	. "github.com/onsi/gomega"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/caller"
+	"github.com/fulmarfield/fulmarfield/client"
+	"github.com/fulmarfield/fulmarfield/test/testcluster"
+)
+
+// block is a directive to the test, or an example: a command and its output.
+var block = regexp.MustCompile("(?s)<!-- test: ([^>]*) -->|```text\n\\$ ([^\n]+)\n(.*?)```\n")
+
+// Guards against examples whose output the programs do not give, and against a procedure of the
+// page that breaks a flow.
+func TestExamplesOfTheOperationsPage(t *testing.T) {
+	g := NewWithT(t)
+	text, err := os.ReadFile("../docs/operations.md")
+	g.Expect(err).NotTo(HaveOccurred())
+	var got strings.Builder
+	for i, part := range strings.SplitAfter(string(text), "\n## ") {
+		if i > 0 && block.MatchString(part) {
+			part = runSection(t, part)
+		}
+		got.WriteString(part)
+	}
+	if flag.Lookup("update-page").Value.String() == "true" {
+		g.Expect(os.WriteFile("../docs/operations.md", []byte(got.String()), 0o644)).To(Succeed())
+		return
+	}
+	g.Expect(got.String()).To(Equal(string(text)), "run: go test ./daemon -run Examples -update-page")
+}
+
+// section is one run of a section's examples on a deployment of its own.
+type section struct {
+	operators
+	log   *os.File
+	files map[string][]byte
+	flows []*caller.Flow
+	next  int
+}
+
+// flowsOfASection are enough that most upstreams have some.
+const flowsOfASection = 40
+
+func runSection(t *testing.T, part string) string {
+	log, err := os.CreateTemp(t.TempDir(), "log")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = log.Close() }()
+	options := testcluster.Options{Log: log}
+	if strings.Contains(part, "test: overload") {
+		options.MeanService = 300 * time.Millisecond
+	}
+	var got string
+	withCluster(t, options, func(c operators) {
+		s := &section{operators: c, log: log, files: map[string][]byte{"hopkrans-hoeve.yaml": c.File}}
+		for i := range flowsOfASection {
+			s.flows = append(s.flows, c.open([]string{"bindery", "galerij"}[i%2]))
+		}
+		got = block.ReplaceAllStringFunc(part, func(whole string) string {
+			m := block.FindStringSubmatch(whole)
+			if m[2] == "" {
+				for _, directive := range strings.Split(m[1], "; ") {
+					s.act(directive)
+				}
+				return whole
+			}
+			return "```text\n$ " + m[2] + "\n" + s.output(m[2]) + "```\n"
+		})
+		for _, f := range s.flows {
+			broken, _ := f.Broken()
+			c.Expect(broken).To(BeFalse(), "a flow broke")
+		}
+	})
+	return got
+}
+
+// output runs a command of the page and returns what it prints.
+func (s *section) output(line string) string {
+	s.t.Helper()
+	words := strings.Fields(line)
+	if words[0] == "curl" {
+		m := regexp.MustCompile(`^http://([0-9.]+):7003(/.*)$`).FindStringSubmatch(words[1])
+		s.Expect(m).NotTo(BeNil(), line)
+		return s.get(s.daemonAt(m[1]), m[2]).Body.String()
+	}
+	s.Expect(words[0]).To(Equal("fulmarctl"), line)
+	s.next++
+	at, id, expected := "127.1.1.1", fmt.Sprintf("ops-%d", s.next), uint64(0)
+	words = words[1:]
+	for ; strings.HasPrefix(words[0], "--"); words = words[2:] {
+		switch words[0] {
+		case "--address":
+			at, _, _ = strings.Cut(words[1], ":")
+		case "--change-id":
+			id = words[1]
+		case "--expected-generation":
+			n, err := strconv.ParseUint(words[1], 10, 64)
+			s.Expect(err).NotTo(HaveOccurred())
+			expected = n
+		default:
+			s.t.Fatalf("flag of %q", line)
+		}
+	}
+	var out bytes.Buffer
+	s.answer(client.Printer{Out: &out, Format: client.Text}, s.daemonAt(at), words, id, expected)
+	return mask(out.String())
+}
+
+// mask replaces what differs between runs: ages, counters, and the generation of an answer whose
+// change may or may not have reached the daemon.
+func mask(text string) string {
+	text = regexp.MustCompile(`in force for [^;]+;`).ReplaceAllString(text, "in force for AGE;")
+	text = regexp.MustCompile(`(?m)^([a-z_]+ +(?:at least )?)\d+$`).ReplaceAllString(text, "${1}N")
+	if strings.HasPrefix(text, "unknown (change") {
+		text = regexp.MustCompile(`# generation \d+`).ReplaceAllString(text, "# generation N")
+	}
+	return text
+}
+
+func (s *section) answer(p client.Printer, at string, words []string, id string, expected uint64) {
+	s.t.Helper()
+	service := s.Daemon(at).Node.OperatorService()
+	switch words[0] {
+	case "plan":
+		r, err := service.Plan(context.Background(), connect.NewRequest(&pb.PlanRequest{FileName: words[1], Declaration: s.files[words[1]]}))
+		s.Expect(err).NotTo(HaveOccurred())
+		p.Plan(r.Msg)
+	case "apply":
+		r, err := service.Apply(context.Background(), connect.NewRequest(&pb.ApplyRequest{
+			FileName: words[1], Declaration: s.files[words[1]], ChangeId: id, Author: "anna", ExpectedGeneration: expected, WaitMs: 3000,
+		}))
+		s.Expect(err).NotTo(HaveOccurred())
+		p.Apply(r.Msg)
+	case "query", "command":
+		r := s.run(at, strings.Join(words[1:], " "), id)
+		// Whether a first notice comes before the first configuration differs between runs.
+		if r.GetTable() != nil {
+			r.Table.Rows = slices.DeleteFunc(r.GetTable().GetRows(), func(row *pb.Row) bool {
+				return row.GetCells()[0] == "notice_unknown_upstream"
+			})
+		}
+		p.Run(r)
+	default:
+		s.t.Fatalf("command %q", words[0])
+	}
+}
+
+func (s *section) daemonAt(ip string) string {
+	s.t.Helper()
+	for _, d := range s.Declaration.Daemons {
+		if d.Address == netip.MustParseAddr(ip) {
+			return d.Name
+		}
+	}
+	s.t.Fatalf("no daemon at %s", ip)
+	return ""
+}
--- a/daemon/page_test.go
+++ b/daemon/page_test.go
@@ -94,3 +94,18 @@
 	}
 	g.Expect(string(data)).To(Equal(want))
 }
+
+// Guards against an alarm that no example shows and that the page does not except.
+func TestPageCausesItsAlarms(t *testing.T) {
+	g := NewWithT(t)
+	data, err := os.ReadFile(operationsPage)
+	g.Expect(err).NotTo(HaveOccurred())
+	table, rest, found := strings.Cut(section(g, string(data), "Alarms"), "\n\nThe examples cause")
+	g.Expect(found).To(BeTrue())
+	alarms := names(table, "(?m)^\\| `([^`]+)`")
+	g.Expect(alarms).NotTo(BeEmpty())
+	for alarm := range alarms {
+		word := alarm[strings.LastIndexAny(alarm, "./")+1:]
+		g.Expect(rest).To(ContainSubstring(word), alarm)
+	}
+}
--- a/test/testcluster/cluster.go
+++ b/test/testcluster/cluster.go
@@ -291,6 +291,17 @@
 	return nil, fmt.Errorf("service %s is not declared", service)
 }
 
+// Send sends a datagram from a new caller address, as the fabric would hand it to any daemon.
+func (c *Cluster) Send(to netip.AddrPort, data []byte) error {
+	c.mu.Lock()
+	c.callers++
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 9, byte(c.callers >> 8), byte(c.callers)}), 40000)
+	c.mu.Unlock()
+	conn := c.listen(address)
+	c.onClose(conn)
+	return conn.Send(to, data)
+}
+
 // Run sends one line of the operators' language to a daemon.
 func (c *Cluster) Run(ctx context.Context, daemonName, line, changeID, author string) (*pb.RunResponse, error) {
 	r, err := c.Daemon(daemonName).Node.OperatorService().Run(ctx, connect.NewRequest(&pb.RunRequest{
