Ask the flow owner for a route

Cause: only the owner of a flow looks its bucket up and knows what it would do with a packet, but show route explained a flow by what the daemon asked knew itself. Five of six daemons answered unknown.

Change: a status request carries the flow of a route query, and each daemon explains it as far as it holds the flow's partition. The answer says which daemon holds the partition by its own word, the bucket, the record (bucket, exception, closed, waiting for which daemons), where the next packet goes or the reason of its reset. Without a record it says where a new flow opens by the state and load of the moment, and where a packet of an open flow goes or which daemons are asked for its record. It is unknown only when no daemon that answered holds the partition. Replicas and the table at the owner's activation count as well, as they do for packets; the explanation left them out.

--- a/daemon/operatorcommand.go
+++ b/daemon/operatorcommand.go
@@ -43,7 +43,7 @@
 	response.Outcome, response.Reason = result.outcome, result.reason
 	asked := s.newCensus()
 	response.InForce, response.NotConfirmed = asked.waitInForce(ctx, result, m.GetWaitMs())
-	response.Basis, _ = asked.gather(ctx, "")
+	response.Basis, _ = asked.gather(ctx, &pb.StatusRequest{})
 	return response
 }
 
@@ -102,7 +102,7 @@
 	}
 	deadline := time.Now().Add(time.Duration(waitMs) * time.Millisecond)
 	for {
-		basis, statuses := c.gather(ctx, "")
+		basis, statuses := c.gather(ctx, &pb.StatusRequest{})
 		inForce, notConfirmed = nil, append([]string(nil), basis.GetMissing()...)
 		for _, status := range statuses {
 			if status.GetGeneration() >= r.generation {
--- a/daemon/operatordeclaration.go
+++ b/daemon/operatordeclaration.go
@@ -13,7 +13,7 @@
 // Plan says what a declaration would change against the configuration in force here, without
 // changing anything.
 func (s operatorService) Plan(ctx context.Context, r *connect.Request[pb.PlanRequest]) (*connect.Response[pb.PlanResponse], error) {
-	basis, statuses := s.newCensus().gather(ctx, "")
+	basis, statuses := s.newCensus().gather(ctx, &pb.StatusRequest{})
 	response := &pb.PlanResponse{Basis: basis}
 	d, errs := declaration.Parse(r.Msg.GetFileName(), r.Msg.GetDeclaration())
 	if len(errs) > 0 {
@@ -65,6 +65,6 @@
 	response.Outcome, response.Generation, response.Reason = result.outcome, result.generation, result.reason
 	asked := s.newCensus()
 	response.InForce, response.NotConfirmed = asked.waitInForce(ctx, result, m.GetWaitMs())
-	response.Basis, _ = asked.gather(ctx, "")
+	response.Basis, _ = asked.gather(ctx, &pb.StatusRequest{})
 	return connect.NewResponse(response), nil
 }
--- a/daemon/operatorgather.go
+++ b/daemon/operatorgather.go
@@ -31,23 +31,23 @@
 
 // askAll returns what an answer without figures rests on: a faulty line is answered like others.
 func (s operatorService) askAll(ctx context.Context) *pb.Basis {
-	basis, _ := s.newCensus().gather(ctx, "")
+	basis, _ := s.newCensus().gather(ctx, &pb.StatusRequest{})
 	return basis
 }
 
 // gather asks every daemon of the view for its status and says which answered. A daemon that
 // did not is named as missing while it may still serve.
-func (c *census) gather(ctx context.Context, caller string) (*pb.Basis, []*pb.StatusResponse) {
+func (c *census) gather(ctx context.Context, r *pb.StatusRequest) (*pb.Basis, []*pb.StatusResponse) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	basis := c.basis()
-	statuses := []*pb.StatusResponse{c.n.Status(caller)}
+	statuses := []*pb.StatusResponse{c.n.answerStatus(r)}
 	ask, gone := c.roster()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for _, m := range ask {
 		wg.Go(func() {
-			status, err := c.statusOf(ctx, m, caller)
+			status, err := c.statusOf(ctx, m, r)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
@@ -150,12 +150,12 @@
 // errNoVMList means that the store of a test has no VM list.
 var errNoVMList = errors.New("platform gives no VM list")
 
-func (s operatorService) statusOf(ctx context.Context, m membership.Member, caller string) (*pb.StatusResponse, error) {
+func (s operatorService) statusOf(ctx context.Context, m membership.Member, r *pb.StatusRequest) (*pb.StatusResponse, error) {
 	client, err := s.n.clients.Client(m.ID)
 	if err != nil {
 		return nil, err
 	}
-	response, err := client.Status(ctx, connect.NewRequest(&pb.StatusRequest{Caller: caller}))
+	response, err := client.Status(ctx, connect.NewRequest(r))
 	if err != nil {
 		return nil, err
 	}
--- a/daemon/operatorquery.go
+++ b/daemon/operatorquery.go
@@ -10,7 +10,6 @@
 	"github.com/fulmarfield/fulmarfield/ownership"
 	"github.com/fulmarfield/fulmarfield/query"
 	"github.com/fulmarfield/fulmarfield/request"
-	"github.com/fulmarfield/fulmarfield/steering"
 	"github.com/fulmarfield/fulmarfield/wire"
 )
 
@@ -24,7 +23,12 @@
 	if err != nil {
 		return &pb.RunResponse{Basis: s.askAll(ctx), Errors: []string{err.Error()}}
 	}
-	basis, statuses := s.newCensus().gather(ctx, q.Caller())
+	ask := &pb.StatusRequest{Caller: q.Caller()}
+	flow, isRoute := s.routeOf(q)
+	if isRoute {
+		ask.Route = flow.Proto()
+	}
+	basis, statuses := s.newCensus().gather(ctx, ask)
 	response := &pb.RunResponse{Basis: basis}
 	facts := query.Facts{Snapshot: s.n.relay.Current(), Statuses: statuses, Missing: basis.GetMissing(), Now: time.Now()}
 	if q.NeedsHistory() {
@@ -34,8 +38,8 @@
 	if q.Drain != nil {
 		facts.Blockers = s.blockers(q.Drain.Upstream)
 	}
-	if q.Route != nil {
-		facts.Route = s.routeFacts(q)
+	if isRoute {
+		facts.Route = s.n.explain(flow)
 	}
 	response.Table, err = q.Evaluate(facts)
 	if err != nil {
@@ -67,11 +71,11 @@
 	return nil
 }
 
-// routeFacts explains a flow by what this daemon knows; nil when the service is not declared.
-func (s operatorService) routeFacts(q *query.Query) *query.RouteFacts {
+// routeOf returns the flow of a route query; false when the service is not declared.
+func (s operatorService) routeOf(q *query.Query) (wire.FlowKey, bool) {
 	caller, err := netip.ParseAddrPort(q.Caller())
-	if err != nil {
-		return nil
+	if err != nil || q.Route == nil {
+		return wire.FlowKey{}, false
 	}
 	for _, service := range s.n.relay.Current().Services() {
 		if service.GetName() != q.Service() {
@@ -79,25 +83,30 @@
 		}
 		address, err := netip.ParseAddrPort(service.GetAddress())
 		if err != nil {
-			return nil
+			return wire.FlowKey{}, false
 		}
 		flow, err := wire.NewFlowKey(caller, address)
-		if err != nil {
-			return nil
-		}
-		facts := &query.RouteFacts{Explanation: s.n.steerer.Explain(flow)}
-		to, active, ok := s.n.ownership.Route(ownership.FlowPartition(service.GetNumber(), flow.Hash()))
-		if active {
-			to, ok = s.n.self.ID, true
-		}
-		if ok {
-			facts.Owner = string(to)
-		}
-		if !active {
-			// A partition that was given away an instant ago is no longer this daemon's to explain.
-			facts.Cause = steering.CauseNotHeld
-		}
-		return facts
+		return flow, err == nil
 	}
-	return nil
+	return wire.FlowKey{}, false
+}
+
+// explain tells what this daemon knows of a flow's way; only the owner knows its upstream.
+func (n *Node) explain(flow wire.FlowKey) *pb.RouteExplanation {
+	e := n.steerer.Explain(flow)
+	r := &pb.RouteExplanation{
+		Cause: e.Cause, Partition: e.Partition, Bucket: e.Bucket, BucketUpstream: e.BucketUpstream, Upstream: e.Upstream,
+		Opens: e.Opens, BucketStable: e.BucketStable, ResetReason: e.Reset, IdleMs: uint32(e.Idle.Milliseconds()),
+	}
+	for _, id := range e.Queried {
+		r.Queried = append(r.Queried, string(id))
+	}
+	to, active, ok := n.ownership.Route(ownership.FlowPartition(e.Service, flow.Hash()))
+	if active {
+		to = n.self.ID
+	}
+	if active || ok {
+		r.Owner = string(to)
+	}
+	return r
 }
--- a/daemon/peerservice.go
+++ b/daemon/peerservice.go
@@ -7,6 +7,7 @@
 	"connectrpc.com/connect"
 
 	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/wire"
 )
 
 // peerService answers the calls of other daemons. It implements both the handler and the
@@ -38,7 +39,16 @@
 }
 
 func (s peerService) Status(_ context.Context, r *connect.Request[pb.StatusRequest]) (*connect.Response[pb.StatusResponse], error) {
-	return connect.NewResponse(s.n.Status(r.Msg.GetCaller())), nil
+	return connect.NewResponse(s.n.answerStatus(r.Msg)), nil
+}
+
+// answerStatus adds to the status what another daemon asked for.
+func (n *Node) answerStatus(r *pb.StatusRequest) *pb.StatusResponse {
+	status := n.Status(r.GetCaller())
+	if r.GetRoute() != nil {
+		status.Route = n.explain(wire.FlowKeyFromProto(r.GetRoute()))
+	}
+	return status
 }
 
 // maxStatusFlows bounds the flows in one status, so that it stays a small message.
--- a/query/evaluate.go
+++ b/query/evaluate.go
@@ -28,8 +28,9 @@
 	// Missing are the daemons that did not answer.
 	Missing []string
 	Now     time.Time
-	// Route is set for a route query.
-	Route *RouteFacts
+	// Route is the view of the answering daemon on a flow, set for a route query. The flow's
+	// owner explains it in its status.
+	Route *pb.RouteExplanation
 	// Changes is set for queries of the history.
 	Changes *ChangeFacts
 	// Blockers is set for a drain query at the daemon that holds the upstream's admission.
--- a/query/route.go
+++ b/query/route.go
@@ -2,20 +2,15 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
-	"github.com/fulmarfield/fulmarfield/steering"
-	"github.com/fulmarfield/fulmarfield/wire"
+	"github.com/fulmarfield/fulmarfield/telemetry"
 )
 
-// RouteFacts are what the answering daemon knows of one flow's way.
-type RouteFacts struct {
-	// Explanation is complete only when this daemon holds the flow's partition.
-	steering.Explanation
-	// Owner holds the partition by this daemon's view; empty when it is not known.
-	Owner string
-}
+// cannotBeAsked stands where only the flow's owner knows.
+const cannotBeAsked = Unknown + ": the flow owner cannot be asked"
 
 // Service returns the service whose address a route query needs, or "".
 func (q *Query) Service() string {
@@ -38,102 +33,151 @@
 		t.Rows = append(t.Rows, row(step, fmt.Sprintf(format, args...)))
 	}
 	add("service", "%s at %s", service.GetName(), service.GetAddress())
-	r := f.Route
-	if r == nil {
+	if f.Route == nil {
 		add("flow owner", Unknown)
 		return t, nil
 	}
-	owner := r.Owner
-	if owner == "" {
-		owner = Unknown
-	}
-	add("flow owner", "%s, which holds partition %d", owner, r.Partition)
-	add("bucket", "%d, %s", r.Bucket, bucketText(f, r))
-	record, holder := recordOf(f, service, r)
-	add("record", "%s", recordText(f, r, record, holder))
-	upstream := r.Upstream
-	if record != nil {
-		upstream = record.GetUpstream()
+	owners, r := ownersOf(f)
+	add("flow owner", "%s", ownerText(f, owners))
+	if r == nil {
+		add("bucket", "%d, upstream %s", f.Route.GetBucket(), cannotBeAsked)
+		add("record", cannotBeAsked)
+		add("next packet", cannotBeAsked)
+		return t, nil
 	}
-	add("next packet", "%s", destination(f, r, upstream))
-	if upstream != 0 {
-		known := summarize(f, upstream)
-		add("admission", "%s; %s requests in progress, %s queued", known.holder, known.inProgress, known.queued)
+	add("bucket", "%d, %s", r.GetBucket(), bucketText(f, r))
+	add("record", "%s", recordText(f, r))
+	if hasRecord(r) {
+		add("next packet", "%s", nextPacket(f, r))
+	} else if r.GetCause() != pb.RouteCause_ROUTE_CAUSE_WAITING {
+		add("new flow", "%s", newFlow(f, r))
+		add("open flow", "%s", openFlow(f, r))
+	}
+	if upstream := max(r.GetUpstream(), r.GetOpens()); upstream != 0 {
+		if hasRecord(r) || r.GetUpstream() == 0 || r.GetUpstream() == r.GetOpens() {
+			add("admission", "%s", admissionText(f, upstream))
+		}
 	}
 	return t, nil
 }
 
-func isHolder(r *RouteFacts) bool {
-	return r.Cause != steering.CauseNotHeld && r.Cause != steering.CauseUnknownService
+// ownersOf returns the daemons that hold the flow's partition by their own answers, and the
+// explanation of the one that the answering daemon sends packets to, or else of the first.
+// There are two for a while after a cut is healed.
+func ownersOf(f Facts) (owners []string, r *pb.RouteExplanation) {
+	for _, s := range f.Statuses {
+		e := s.GetRoute()
+		switch e.GetCause() {
+		case pb.RouteCause_ROUTE_CAUSE_UNSPECIFIED, pb.RouteCause_ROUTE_CAUSE_UNKNOWN_SERVICE, pb.RouteCause_ROUTE_CAUSE_NOT_HELD:
+			continue
+		}
+		owners = append(owners, s.GetDaemon())
+		if r == nil || s.GetDaemon() == f.Route.GetOwner() {
+			r = e
+		}
+	}
+	return owners, r
 }
 
-// bucketText tells the bucket's upstream, which only the holder of the partition looks up.
-func bucketText(f Facts, r *RouteFacts) string {
-	if !isHolder(r) {
-		return "upstream " + Unknown + " here"
-	}
-	stable := "changed within the idle limit"
-	if r.BucketStable {
-		stable = "stable"
+func ownerText(f Facts, owners []string) string {
+	partition, expected := f.Route.GetPartition(), f.Route.GetOwner()
+	switch {
+	case len(owners) == 1:
+		return fmt.Sprintf("%s, which holds partition %d", owners[0], partition)
+	case len(owners) > 1:
+		return fmt.Sprintf("%s, which all hold partition %d until their records are merged", strings.Join(owners, " and "), partition)
+	case expected == "":
+		return Unknown
+	case heardFrom(f, expected):
+		return fmt.Sprintf("%s, which does not hold partition %d yet", expected, partition)
+	default:
+		return expected + ", which did not answer"
 	}
-	return fmt.Sprintf("upstream %s, %s", upstreamName(f, r.BucketUpstream), stable)
 }
 
-// recordOf returns the flow's record from the daemon that has it.
-func recordOf(f Facts, service *pb.Service, r *RouteFacts) (record *pb.FlowRecord, holder string) {
+func heardFrom(f Facts, daemon string) bool {
 	for _, s := range f.Statuses {
-		for _, flow := range s.GetFlows() {
-			if flow.GetService() == service.GetNumber() && wire.FlowKeyFromProto(flow.GetFlow()) == r.Flow {
-				return flow, s.GetDaemon()
-			}
+		if s.GetDaemon() == daemon {
+			return true
 		}
 	}
-	return nil, ""
+	return false
 }
 
-func recordText(f Facts, r *RouteFacts, record *pb.FlowRecord, holder string) string {
-	if record != nil {
-		kind := "on its bucket's upstream"
-		if record.GetException() {
-			kind = "exception"
-		}
-		idle := time.Duration(record.GetIdleMs()) * time.Millisecond
-		return fmt.Sprintf("on %s, %s, idle for %s, at %s", upstreamName(f, record.GetUpstream()), kind, idle.Round(time.Second), holder)
+func bucketText(f Facts, r *pb.RouteExplanation) string {
+	if r.GetBucketUpstream() == 0 {
+		return "no upstream"
 	}
-	switch r.Cause {
-	case steering.CauseClosed:
-		return "closed a short while ago"
-	case steering.CauseWaiting:
-		return "none; other daemons are being asked"
+	stable := "changed within the idle limit"
+	if r.GetBucketStable() {
+		stable = "stable"
 	}
-	if isHolder(r) || heardFrom(f, r.Owner) {
+	return fmt.Sprintf("upstream %s, %s", upstreamName(f, r.GetBucketUpstream()), stable)
+}
+
+// hasRecord reports whether the owner has a record of the flow.
+func hasRecord(r *pb.RouteExplanation) bool {
+	switch r.GetCause() {
+	case pb.RouteCause_ROUTE_CAUSE_RECORD, pb.RouteCause_ROUTE_CAUSE_EXCEPTION, pb.RouteCause_ROUTE_CAUSE_CLOSED:
+		return true
+	default:
+		return false
+	}
+}
+
+func recordText(f Facts, r *pb.RouteExplanation) string {
+	kind := "on its bucket's upstream"
+	switch r.GetCause() {
+	case pb.RouteCause_ROUTE_CAUSE_WAITING:
+		return "none yet; asked: " + strings.Join(r.GetQueried(), ", ")
+	case pb.RouteCause_ROUTE_CAUSE_EXCEPTION:
+		kind = "exception"
+	case pb.RouteCause_ROUTE_CAUSE_CLOSED:
+		kind = "closed a short while ago"
+	case pb.RouteCause_ROUTE_CAUSE_RECORD:
+	default:
 		return "none"
 	}
-	return Unknown + ": the flow owner did not answer"
+	idle := time.Duration(r.GetIdleMs()) * time.Millisecond
+	return fmt.Sprintf("on %s, %s, idle for %s", upstreamName(f, r.GetUpstream()), kind, idle.Round(time.Second))
 }
 
-func heardFrom(f Facts, daemon string) bool {
-	for _, s := range f.Statuses {
-		if s.GetDaemon() == daemon {
-			return true
-		}
+func nextPacket(f Facts, r *pb.RouteExplanation) string {
+	if r.GetResetReason() != pb.Reason_REASON_UNSPECIFIED {
+		return "is answered by a reset: " + telemetry.ReasonName(r.GetResetReason())
 	}
-	return false
+	return "goes to " + upstreamName(f, r.GetUpstream())
 }
 
-func destination(f Facts, r *RouteFacts, upstream uint32) string {
-	switch {
-	case upstream != 0:
-		return "goes to " + upstreamName(f, upstream)
-	case r.Cause == steering.CauseNoUpstream:
+// newFlow tells where an OPEN goes by the state and load of this moment.
+func newFlow(f Facts, r *pb.RouteExplanation) string {
+	switch r.GetOpens() {
+	case 0:
 		return "is refused: the service has no active upstream"
-	case r.Cause == steering.CauseUnstableBucket:
-		return "opens a flow on " + upstreamName(f, r.BucketUpstream) + "; of an open flow, other daemons are asked for the record"
+	case r.GetBucketUpstream():
+		return "opens on " + upstreamName(f, r.GetOpens()) + ", its bucket's upstream"
 	default:
-		return Unknown
+		return fmt.Sprintf("opens on %s, an exception, by the state or load of %s", upstreamName(f, r.GetOpens()), upstreamName(f, r.GetBucketUpstream()))
 	}
 }
 
+// openFlow tells what a packet of an open flow meets for which the owner has no record.
+func openFlow(f Facts, r *pb.RouteExplanation) string {
+	switch {
+	case r.GetUpstream() != 0:
+		return "goes to " + upstreamName(f, r.GetUpstream()) + ", by the table"
+	case len(r.GetQueried()) > 0:
+		return strings.Join(r.GetQueried(), ", ") + " are asked for its record"
+	default:
+		return "is answered by a reset: no daemon can be asked for its record"
+	}
+}
+
+func admissionText(f Facts, upstream uint32) string {
+	known := summarize(f, upstream)
+	return fmt.Sprintf("%s; %s requests in progress, %s queued", known.holder, known.inProgress, known.queued)
+}
+
 func upstreamName(f Facts, upstream uint32) string {
 	u, _, _, ok := f.Snapshot.Upstream(upstream)
 	if !ok {
--- a/steering/unknown.go
+++ b/steering/unknown.go
@@ -44,12 +44,7 @@
 // query asks the daemons that may know the flow of a wait. With none to ask, the flow is
 // reset.
 func (s *Steerer) query(w *wait) {
-	r := w.partition.resource
-	targets := slices.Clone(s.Router.PreviousHolders(r))
-	if successor, ok := s.Router.Successor(r); ok && !slices.Contains(targets, successor) {
-		targets = slices.Insert(targets, min(len(targets), maxAsked-1), successor)
-	}
-	targets = targets[:min(len(targets), maxAsked)]
+	targets := s.askedFor(w.partition.resource)
 	w.partition.mu.Lock()
 	w.pending = targets
 	w.partition.mu.Unlock()
