Test the prompt, the JSON output and the exit statuses of the client

Change: the prompt's loop takes a terminal as input and output, so that tests can type and read. validate, and the check before plan and apply, print JSON when it is asked for. A prompt whose input cannot be read says so and ends with status 2.

--- a/client/print.go
+++ b/client/print.go
@@ -1,6 +1,7 @@
 package client
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"strings"
@@ -35,6 +36,30 @@
 	p.printf("%s\n", protojson.MarshalOptions{Multiline: true, EmitUnpopulated: true}.Format(m))
 }
 
+// Check prints whether a declaration is valid: as text to w, one line for each error, as JSON to
+// the output.
+func (p Printer) Check(w io.Writer, file string, errs []string) {
+	if p.Format == JSON {
+		// The fields are plain text, which always encodes.
+		data, _ := json.MarshalIndent(checked{File: file, Valid: len(errs) == 0, Errors: append([]string{}, errs...)}, "", "  ")
+		p.printf("%s\n", data)
+		return
+	}
+	for _, line := range errs {
+		_, _ = fmt.Fprintln(w, line)
+	}
+	if len(errs) == 0 {
+		_, _ = fmt.Fprintf(w, "%s: valid\n", file)
+	}
+}
+
+// checked is the JSON form of a check.
+type checked struct {
+	File   string   `json:"file"`
+	Valid  bool     `json:"valid"`
+	Errors []string `json:"errors"`
+}
+
 // Plan prints what a declaration would change.
 func (p Printer) Plan(r *pb.PlanResponse) {
 	if p.Format == JSON {
--- a/client/program.go
+++ b/client/program.go
@@ -152,15 +152,14 @@
 	if err != nil {
 		return p.usageError(err.Error())
 	}
-	if _, errs := declaration.Parse(args[0], data); len(errs) > 0 {
-		for _, line := range errs.Lines() {
-			p.complain("%s\n", line)
-		}
+	_, errs := declaration.Parse(args[0], data)
+	if len(errs) > 0 {
+		p.printer.Check(p.errOut, args[0], errs.Lines())
 		return ExitUsage
 	}
 	switch command {
 	case "validate":
-		p.printer.printf("%s: valid\n", args[0])
+		p.printer.Check(p.printer.Out, args[0], nil)
 		return ExitOK
 	case "plan":
 		r, err := p.client.Plan(ctx, args[0], data)
--- a/client/program_test.go
+++ b/client/program_test.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"connectrpc.com/connect"
 	. "github.com/onsi/gomega"
@@ -18,16 +20,61 @@
 	"github.com/fulmarfield/fulmarfield/client"
 )
 
-// recorder answers each line with the outcome of its table and records it with its id.
+// callLimit bounds one call of a test.
+const callLimit = 10 * time.Second
+
+// recorder answers each line with the outcome of its table and records it with its id. The line
+// "fail" gets no answer.
 type recorder struct {
 	fulmarfieldv1connect.UnimplementedOperatorServiceHandler
 	outcomes map[string]pb.Outcome
 	got      []string
 }
 
+func newRecorder() *recorder {
+	return &recorder{outcomes: map[string]pb.Outcome{
+		"drain upstream a": pb.Outcome_OUTCOME_COMMITTED, "drain upstream b": pb.Outcome_OUTCOME_REFUSED,
+		"drain upstream c": pb.Outcome_OUTCOME_UNKNOWN, "drain upstream d": pb.Outcome_OUTCOME_UNCHANGED,
+	}}
+}
+
+// lines returns the lines without their ids.
+func (r *recorder) lines() []string {
+	var lines []string
+	for _, l := range r.got {
+		line, _, _ := strings.Cut(l, " [")
+		lines = append(lines, line)
+	}
+	return lines
+}
+
 func (r *recorder) Run(_ context.Context, q *connect.Request[pb.RunRequest]) (*connect.Response[pb.RunResponse], error) {
 	r.got = append(r.got, q.Msg.GetLine()+" ["+q.Msg.GetChangeId()+"]")
-	return connect.NewResponse(&pb.RunResponse{Outcome: r.outcomes[q.Msg.GetLine()], ChangeId: q.Msg.GetChangeId()}), nil
+	response := &pb.RunResponse{Outcome: r.outcomes[q.Msg.GetLine()], ChangeId: q.Msg.GetChangeId()}
+	switch q.Msg.GetLine() {
+	case "fail":
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("out of order"))
+	case "dance":
+		response.Errors = []string{"not a line"}
+	}
+	return connect.NewResponse(response), nil
+}
+
+func (r *recorder) Plan(_ context.Context, q *connect.Request[pb.PlanRequest]) (*connect.Response[pb.PlanResponse], error) {
+	response := &pb.PlanResponse{Basis: &pb.Basis{Generation: 1}}
+	if strings.HasSuffix(q.Msg.GetFileName(), "other.yaml") {
+		response.Errors = []string{"declaration is of another deployment"}
+	}
+	return connect.NewResponse(response), nil
+}
+
+// Apply has the outcome of the change id.
+func (r *recorder) Apply(_ context.Context, q *connect.Request[pb.ApplyRequest]) (*connect.Response[pb.ApplyResponse], error) {
+	if q.Msg.GetChangeId() == "fail" {
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("out of order"))
+	}
+	outcome := pb.Outcome(pb.Outcome_value["OUTCOME_"+strings.ToUpper(q.Msg.GetChangeId())])
+	return connect.NewResponse(&pb.ApplyResponse{Outcome: outcome, ChangeId: q.Msg.GetChangeId(), Basis: &pb.Basis{Generation: 1}}), nil
 }
 
 // Guards against a script that runs half of a faulty file, goes on after a failure, gives two
@@ -45,18 +92,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			r := &recorder{outcomes: map[string]pb.Outcome{
-				"drain upstream a": pb.Outcome_OUTCOME_COMMITTED, "drain upstream b": pb.Outcome_OUTCOME_REFUSED,
-				"drain upstream c": pb.Outcome_OUTCOME_UNKNOWN,
-			}}
-			mux := http.NewServeMux()
-			mux.Handle(fulmarfieldv1connect.NewOperatorServiceHandler(r))
-			server := httptest.NewServer(mux)
-			defer server.Close()
+			r := newRecorder()
+			address := serve(t, r)
 			file := filepath.Join(t.TempDir(), "script")
 			g.Expect(os.WriteFile(file, []byte(c.script), 0o600)).To(Succeed())
 			var out, errOut bytes.Buffer
-			address := strings.TrimPrefix(server.URL, "http://")
 			g.Expect(client.Main([]string{"--address", address, "--change-id", "x", "run", file}, nil, &out, &errOut)).To(Equal(c.status), errOut.String())
 			g.Expect(r.got).To(Equal(c.got))
 		})
--- a/client/prompt.go
+++ b/client/prompt.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"io"
 	"os"
 	"strings"
 
@@ -24,12 +26,18 @@
 	}
 	// A terminal that cannot be restored is the shell's to reset.
 	defer func() { _ = term.Restore(int(file.Fd()), state) }()
-	terminal := term.NewTerminal(file, promptText)
+	return p.onTerminal(ctx, file)
+}
+
+// onTerminal reads lines with history and completion until the input ends, and prints to the
+// same terminal.
+func (p *Program) onTerminal(ctx context.Context, screen io.ReadWriter) int {
+	terminal := term.NewTerminal(screen, promptText)
 	terminal.AutoCompleteCallback = completeKey
 	p.printer.Out, p.errOut = terminal, terminal
 	for {
 		line, err := terminal.ReadLine()
-		if err != nil {
+		if err != nil && !errors.Is(err, term.ErrPasteIndicator) {
 			return ExitOK
 		}
 		if !p.promptLine(ctx, line) {
@@ -42,9 +50,12 @@
 	scanner := bufio.NewScanner(p.in)
 	for scanner.Scan() {
 		if !p.promptLine(ctx, scanner.Text()) {
-			break
+			return ExitOK
 		}
 	}
+	if err := scanner.Err(); err != nil {
+		return p.usageError("prompt: " + err.Error())
+	}
 	return ExitOK
 }
 
