--- a/daemon/declaration_test.go
+++ b/daemon/declaration_test.go
@@ -47,6 +47,13 @@
 			"bindery: upstream "+upstream+" loses buckets, 6.7 % to 0.0 %",
 			"bindery: removing upstream "+upstream+" ends 1",
 			"established flows on upstreams that lose buckets: 1; flows that break: 1"))
+		draining := strings.Replace(strings.Replace(same, "name: "+upstream+", ", "name: "+upstream+", state: draining, ", 1),
+			"127.1.1.57:9000\", slots: 2", "127.1.1.57:9000\", slots: 3", 1)
+		c.Expect(c.plan(draining).GetLines()).To(ContainElements(
+			"bindery: upstream "+upstream+" loses buckets, 6.7 % to 0.0 %; established flows that stay: 1",
+			MatchRegexp(`^bindery: upstream bindery-\d+ gains buckets, 6.7 % to 7.1 %$`),
+			"galerij: upstream galerij-4 gains slots, 2 to 3",
+			"established flows on upstreams that lose buckets: 1; flows that break: 0"))
 		c.Expect(c.rows("schuur-1", "show history")).To(HaveLen(1), "a plan changes nothing")
 
 		c.Expect(c.apply(without, "apply-2", 7).GetOutcome()).To(Equal(pb.Outcome_OUTCOME_REFUSED), "expected generation")
--- a/daemon/operatorplan.go
+++ b/daemon/operatorplan.go
@@ -20,18 +20,16 @@
 	for _, before := range previous.GetServices() {
 		now := after[before.GetNumber()]
 		delete(after, before.GetNumber())
-		lines = append(lines, shareLines(before, now)...)
-		kept := map[uint32]bool{}
-		for _, u := range now.GetUpstreams() {
-			kept[u.GetNumber()] = true
-		}
+		lines = append(lines, shareLines(before, now, open, missing)...)
+		lines = append(lines, slotLines(before, now)...)
+		kept := upstreamsOf(now)
 		had, has := shares(before), shares(now)
 		for _, u := range before.GetUpstreams() {
 			n := open[u.GetNumber()]
-			if has[u.GetNumber()] < had[u.GetNumber()] || !kept[u.GetNumber()] {
+			if has[u.GetNumber()] < had[u.GetNumber()] || kept[u.GetNumber()] == nil {
 				touched += n
 			}
-			if !kept[u.GetNumber()] {
+			if kept[u.GetNumber()] == nil {
 				broken += n
 				lines = append(lines, fmt.Sprintf("%s: removing upstream %s ends %s", before.GetName(), u.GetName(), flowCount(n, missing)))
 			}
@@ -39,7 +37,7 @@
 	}
 	for _, s := range next.GetServices() {
 		if after[s.GetNumber()] != nil {
-			lines = append(lines, shareLines(nil, s)...)
+			lines = append(lines, shareLines(nil, s, open, missing)...)
 		}
 	}
 	if len(lines) == 0 {
@@ -86,9 +84,10 @@
 }
 
 // shareLines names each upstream whose share of the table changes, those of the earlier
-// configuration first.
-func shareLines(before, now *pb.Service) []string {
+// configuration first, and the established flows of those that lose and are kept.
+func shareLines(before, now *pb.Service, open map[uint32]uint64, missing []string) []string {
 	had, has := shares(before), shares(now)
+	kept := upstreamsOf(now)
 	var lines []string
 	seen := map[uint32]bool{}
 	for _, s := range []*pb.Service{before, now} {
@@ -98,12 +97,48 @@
 				continue
 			}
 			seen[n] = true
-			verb := "gains"
+			verb, flows := "gains", ""
 			if has[n] < had[n] {
 				verb = "loses"
+				if kept[n] != nil {
+					flows = "; established flows that stay: " + flowCount(open[n], missing)
+				}
 			}
-			lines = append(lines, fmt.Sprintf("%s: upstream %s %s buckets, %.1f %% to %.1f %%", s.GetName(), u.GetName(), verb, had[n], has[n]))
+			lines = append(lines, fmt.Sprintf("%s: upstream %s %s buckets, %.1f %% to %.1f %%%s", s.GetName(), u.GetName(), verb, had[n], has[n], flows))
 		}
 	}
 	return lines
 }
+
+// slotLines names each upstream whose slots for new requests change. A draining upstream keeps
+// its slots for the flows that it has.
+func slotLines(before, now *pb.Service) []string {
+	var lines []string
+	after := upstreamsOf(now)
+	for _, u := range before.GetUpstreams() {
+		had, has := u.GetSlots(), after[u.GetNumber()].GetSlots()
+		if had == has {
+			continue
+		}
+		verb := "gains"
+		if has < had {
+			verb = "loses"
+		}
+		lines = append(lines, fmt.Sprintf("%s: upstream %s %s slots, %d to %d", before.GetName(), u.GetName(), verb, had, has))
+	}
+	had := upstreamsOf(before)
+	for _, u := range now.GetUpstreams() {
+		if had[u.GetNumber()] == nil {
+			lines = append(lines, fmt.Sprintf("%s: upstream %s gains slots, 0 to %d", now.GetName(), u.GetName(), u.GetSlots()))
+		}
+	}
+	return lines
+}
+
+func upstreamsOf(s *pb.Service) map[uint32]*pb.Upstream {
+	m := map[uint32]*pb.Upstream{}
+	for _, u := range s.GetUpstreams() {
+		m[u.GetNumber()] = u
+	}
+	return m
+}
--- a/query/evaluate.go
+++ b/query/evaluate.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -156,26 +157,38 @@
 type upstreamSummary struct {
 	state, inProgress, queued string
 	flows                     uint64
-	holder                    string
+	// work is in progress and waiting is queued at the daemons that answered.
+	work, waiting uint64
+	holder        string
 }
 
 // summarize merges the statuses of one upstream. Work in progress is known only to the holder
-// of its admission.
+// of its admission. For a while after a cut there are two holders, and a daemon that did not
+// answer may be one, so that what the others have in progress is a lower bound.
 func summarize(f Facts, upstream uint32) upstreamSummary {
 	s := upstreamSummary{state: Unknown, inProgress: Unknown, queued: Unknown, holder: Unknown}
+	var states, holders []string
 	for _, status := range f.Statuses {
 		for _, u := range status.GetUpstreams() {
 			if u.GetUpstream() != upstream {
 				continue
 			}
 			s.flows += uint64(u.GetFlows())
-			if u.GetAdmissionHeld() {
-				s.state = enumName(u.GetState().String(), "UPSTREAM_STATE_")
-				s.inProgress, s.queued = number(u.GetInProgress()), number(u.GetQueued())
-				s.holder = status.GetDaemon()
+			if !u.GetAdmissionHeld() {
+				continue
+			}
+			if state := enumName(u.GetState().String(), "UPSTREAM_STATE_"); !slices.Contains(states, state) {
+				states = append(states, state)
 			}
+			holders = append(holders, status.GetDaemon())
+			s.work += uint64(u.GetInProgress())
+			s.waiting += uint64(u.GetQueued())
 		}
 	}
+	if len(holders) > 0 {
+		s.state, s.holder = strings.Join(states, " or "), strings.Join(holders, " and ")
+		s.inProgress, s.queued = atLeast(f, s.work), atLeast(f, s.waiting)
+	}
 	return s
 }
 
@@ -221,35 +234,27 @@
 	}
 	t := &pb.Table{Columns: []string{"service", "flows", "largest over mean", "in progress", "queued"}}
 	for _, s := range selected {
-		total, largest, inProgress, queued, held := uint64(0), uint64(0), uint64(0), uint64(0), 0
+		total, largest, work, waiting, held := uint64(0), uint64(0), uint64(0), uint64(0), true
 		for _, u := range s.GetUpstreams() {
 			known := summarize(f, u.GetNumber())
 			total += known.flows
 			largest = max(largest, known.flows)
-			if known.holder == Unknown {
-				continue
-			}
-			held++
-			inProgress += parse(known.inProgress)
-			queued += parse(known.queued)
+			work += known.work
+			waiting += known.waiting
+			held = held && known.holder != Unknown
 		}
-		progress, waiting := number(inProgress), number(queued)
-		if held < len(s.GetUpstreams()) {
-			progress, waiting = "at least "+progress, "at least "+waiting
+		progress, queued, spread := atLeast(f, work), atLeast(f, waiting), ratio(largest, total, len(s.GetUpstreams()))
+		if !held {
+			progress, queued = "at least "+number(work), "at least "+number(waiting)
 		}
-		t.Rows = append(t.Rows, row(s.GetName(), atLeast(f, total), ratio(largest, total, len(s.GetUpstreams())), progress, waiting))
+		if len(f.Missing) > 0 {
+			spread = Unknown // The flows of the missing daemons may even the others out.
+		}
+		t.Rows = append(t.Rows, row(s.GetName(), atLeast(f, total), spread, progress, queued))
 	}
 	return t, nil
 }
 
-func parse(s string) uint64 {
-	n, err := strconv.ParseUint(s, 10, 64)
-	if err != nil {
-		return 0
-	}
-	return n
-}
-
 func ratio(largest, total uint64, n int) string {
 	if total == 0 || n == 0 {
 		return Unknown
