Relay configurations to peers as deltas

Cause: peers got each configuration whole, so a change of one service cost bytes in proportion to all services, above 2 KB/s at 0.4 changes a second. The design says that deltas are pushed; the code did not do so.

Change: a daemon keeps which services changed in its last 64 changes of generation and sends those to a peer whose generation it knows. A push assumes the generation before and is sent once more if the peer says that it has another. A delta applies to its base only; any other is refused and counted, and the peer pulls.

--- a/config/relay/fleet_test.go
+++ b/config/relay/fleet_test.go
@@ -20,7 +20,6 @@
 	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
 	"github.com/fulmarfield/fulmarfield/api/fulmarfield/v1/fulmarfieldv1connect"
 	"github.com/fulmarfield/fulmarfield/config"
-	"github.com/fulmarfield/fulmarfield/config/commit"
 	"github.com/fulmarfield/fulmarfield/config/declaration"
 	"github.com/fulmarfield/fulmarfield/config/relay"
 	"github.com/fulmarfield/fulmarfield/membership"
@@ -98,13 +97,7 @@
 `, slots)
 	d, faults := declaration.Parse("test.yaml", []byte(text))
 	f.g.Expect(faults).To(BeEmpty())
-	ctx, cancel := context.WithTimeout(f.ctx, time.Minute)
-	defer cancel()
-	result := commit.Commit(ctx, f.operator, id, 0, func(previous *pb.Configuration) (*pb.Configuration, error) {
-		next, _ := declaration.Build(previous, d, id, "operator", time.Now())
-		return next, nil
-	})
-	f.g.Expect(result.Outcome).To(Equal(pb.Outcome_OUTCOME_COMMITTED))
+	f.commitDeclaration(id, d)
 }
 
 // start starts or restarts the i-th daemon with nothing but its settings.
--- a/config/relay/peers.go
+++ b/config/relay/peers.go
@@ -7,7 +7,6 @@
 
 	"connectrpc.com/connect"
 	"golang.org/x/sync/errgroup"
-	"google.golang.org/protobuf/proto"
 
 	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
 	"github.com/fulmarfield/fulmarfield/membership"
@@ -30,25 +29,20 @@
 	startInterval = 250 * time.Millisecond
 )
 
-// relayedBytes counts the bytes of configurations sent to peers, which is control traffic.
-const relayedBytes = "config.relayed_bytes"
-
 // HandleGet answers a peer that asks for a configuration newer than its own.
 func (r *Relay) HandleGet(request *pb.GetConfigurationRequest) *pb.GetConfigurationResponse {
 	response := &pb.GetConfigurationResponse{Generation: r.Current().Generation()}
 	if response.GetGeneration() > request.GetHaveGeneration() {
-		response.Configuration = r.relayed()
-		r.options.Counters.Add(relayedBytes, int64(proto.Size(response.GetConfiguration())))
+		response.Configuration, response.Delta = r.updateFrom(request.GetHaveGeneration())
+		r.countRelayed(response)
 	}
 	return response
 }
 
 // HandlePush puts a pushed configuration in force if it is newer and returns the generation
-// in force afterwards.
+// in force afterwards. It is the old one when the push was a delta to another generation.
 func (r *Relay) HandlePush(request *pb.PushConfigurationRequest) *pb.PushConfigurationResponse {
-	if request.GetConfiguration() != nil {
-		r.install(request.GetConfiguration(), "push")
-	}
+	r.installUpdate(request, "push")
 	return &pb.PushConfigurationResponse{Generation: r.Current().Generation()}
 }
 
@@ -145,8 +139,8 @@
 // does not, or has nothing newer any more, is forgotten until its next probe.
 func (r *Relay) pullFrom(ctx context.Context, id membership.DaemonID) bool {
 	response, err := r.get(ctx, id)
-	if err == nil && response.GetConfiguration() != nil {
-		r.install(response.GetConfiguration(), "peer")
+	if err == nil {
+		r.installUpdate(response, "peer")
 	}
 	r.mu.Lock()
 	delete(r.newer, id)
@@ -175,12 +169,12 @@
 		if err := r.push.wait(ctx); err != nil {
 			return err
 		}
-		request := &pb.PushConfigurationRequest{Configuration: r.relayed()}
+		base := r.previousGeneration()
 		group := errgroup.Group{}
 		group.SetLimit(pushConcurrency)
 		for _, id := range pushTargets(r.options.Viewer.View(), r.options.Zone, r.options.Self) {
 			group.Go(func() error {
-				r.pushTo(ctx, id, request)
+				r.pushTo(ctx, id, base)
 				return nil
 			})
 		}
@@ -188,20 +182,36 @@
 	}
 }
 
-// pushTo pushes to one peer. A lost push is not repeated, since probes carry the generation.
-func (r *Relay) pushTo(ctx context.Context, id membership.DaemonID, request *pb.PushConfigurationRequest) {
+// pushTo pushes to one peer, which is taken to have the base generation. One that has another
+// says so and gets what it lacks. A lost push is not repeated, since probes carry the
+// generation.
+func (r *Relay) pushTo(ctx context.Context, id membership.DaemonID, base uint64) {
+	has, ok := r.pushOnce(ctx, id, base)
+	if ok && has < r.Current().Generation() && has != base {
+		r.options.Counters.Count("retry.config_push_base")
+		has, ok = r.pushOnce(ctx, id, has)
+	}
+	if ok {
+		r.options.Counters.Count("config.pushed")
+		r.OnPeerGeneration(id, has)
+	}
+}
+
+// pushOnce returns the generation that the peer has in force afterwards.
+func (r *Relay) pushOnce(ctx context.Context, id membership.DaemonID, base uint64) (has uint64, ok bool) {
 	client, err := r.options.Clients.Client(id)
 	if err != nil {
-		return
+		return 0, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	r.options.Counters.Add(relayedBytes, int64(proto.Size(request.GetConfiguration())))
+	request := &pb.PushConfigurationRequest{}
+	request.Configuration, request.Delta = r.updateFrom(base)
+	r.countRelayed(request)
 	response, err := client.PushConfiguration(ctx, connect.NewRequest(request))
 	if err != nil {
 		r.options.Counters.Drop("config_push_lost")
-		return
+		return 0, false
 	}
-	r.options.Counters.Count("config.pushed")
-	r.OnPeerGeneration(id, response.Msg.GetGeneration())
+	return response.Msg.GetGeneration(), true
 }
--- a/config/relay/relay.go
+++ b/config/relay/relay.go
@@ -23,10 +23,6 @@
 	"github.com/fulmarfield/fulmarfield/telemetry"
 )
 
-// relayedHistory is the number of change records that go along from peer to peer. The whole
-// history is in the store; 256 records are about 25 KB, which is much at 2 KB/s.
-const relayedHistory = 4
-
 // Options are the parts that a relay works with.
 type Options struct {
 	Self     membership.DaemonID
@@ -49,6 +45,9 @@
 	since       time.Time
 	subscribers []func(previous, current *config.Snapshot)
 	changes     []change
+	// steps are the latest changes of generation here, oldest first. Each begins at the
+	// generation that the one before it ends at.
+	steps []step
 	// newer holds the generations above the one in force that peers have told of and that
 	// were not pulled yet; newest is the highest that any peer ever told of.
 	newer    map[membership.DaemonID]uint64
@@ -140,13 +139,21 @@
 	}
 	// Indexing a large configuration takes long, and probes must not wait for it.
 	current := config.NewSnapshot(c)
+	previous := r.Current()
+	taken := newStep(previous, current)
 	r.mu.Lock()
-	previous := r.current.Load()
+	for previous != r.current.Load() {
+		// Another source was faster with a generation in between.
+		previous = r.current.Load()
+		taken = newStep(previous, current)
+	}
 	if c.GetGeneration() <= previous.Generation() {
 		r.mu.Unlock()
 		return false
 	}
 	r.current.Store(current)
+	r.steps = append(r.steps, taken)
+	r.steps = r.steps[max(0, len(r.steps)-maxSteps):]
 	r.since = time.Now()
 	r.changes = append(r.changes, change{previous, current})
 	for id, generation := range r.newer {
@@ -201,21 +208,6 @@
 	}
 }
 
-// relayed returns the configuration in force as peers get it.
-func (r *Relay) relayed() *pb.Configuration {
-	c := r.Current().Proto
-	if len(c.GetHistory()) <= relayedHistory {
-		return c
-	}
-	// The parts are shared, since a configuration in force is never changed.
-	return &pb.Configuration{
-		Generation: c.GetGeneration(), ChangeId: c.GetChangeId(), Author: c.GetAuthor(),
-		CommittedAtMs: c.GetCommittedAtMs(), Services: c.GetServices(), History: c.GetHistory()[:relayedHistory],
-		Daemons: c.GetDaemons(), Zones: c.GetZones(), LastUpstreamNumber: c.GetLastUpstreamNumber(),
-		Deployment: c.GetDeployment(), LastServiceNumber: c.GetLastServiceNumber(),
-	}
-}
-
 // signal wakes one waiting goroutine; notifications while none waits are kept as one.
 type signal struct{ c chan struct{} }
 
