Wait for a time or the end of a context in one place

Cause: the same select over a timer and a context stood in five packages. Change: internal/wait.For replaces them. No behaviour changes; the tests of the packages pass.

--- a/config/commit/commit.go
+++ b/config/commit/commit.go
@@ -10,6 +10,7 @@
 
 	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
 	"github.com/fulmarfield/fulmarfield/config/declaration"
+	"github.com/fulmarfield/fulmarfield/internal/wait"
 	"github.com/fulmarfield/fulmarfield/platform"
 	"github.com/fulmarfield/fulmarfield/telemetry"
 )
@@ -97,7 +98,7 @@
 		if done {
 			return result
 		}
-		if err := wait(ctx, a.backoff.NextBackOff()); err != nil {
+		if err := wait.For(ctx, a.backoff.NextBackOff()); err != nil {
 			return a.giveUp()
 		}
 	}
--- a/config/commit/janitor.go
+++ b/config/commit/janitor.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/fulmarfield/fulmarfield/internal/wait"
 	"github.com/fulmarfield/fulmarfield/platform"
 	"github.com/fulmarfield/fulmarfield/telemetry"
 )
@@ -40,7 +41,7 @@
 // error it returns. Few daemons should be eligible, since each round reads the store.
 func (j *Janitor) Run(ctx context.Context, interval time.Duration, eligible func() bool) error {
 	for {
-		if err := wait(ctx, interval); err != nil {
+		if err := wait.For(ctx, interval); err != nil {
 			return err
 		}
 		if !eligible() {
@@ -73,7 +74,7 @@
 			return removed, err
 		}
 		removed++
-		if err := wait(ctx, removalPause); err != nil {
+		if err := wait.For(ctx, removalPause); err != nil {
 			return removed, err
 		}
 	}
@@ -123,14 +124,3 @@
 	}
 	return nil
 }
-
-func wait(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/config/relay/peers.go
+++ b/config/relay/peers.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/internal/wait"
 	"github.com/fulmarfield/fulmarfield/membership"
 )
 
@@ -84,7 +85,7 @@
 			}
 			r.options.Counters.Count("retry.config_pull")
 			jittered := pause/2 + rand.N(pause)
-			if err := waitFor(ctx, jittered); err != nil {
+			if err := wait.For(ctx, jittered); err != nil {
 				return err
 			}
 		}
@@ -101,7 +102,7 @@
 		if heard {
 			return nil
 		}
-		if err := waitFor(ctx, startInterval); err != nil {
+		if err := wait.For(ctx, startInterval); err != nil {
 			return err
 		}
 	}
--- a/config/relay/relay.go
+++ b/config/relay/relay.go
@@ -228,15 +228,3 @@
 		return nil
 	}
 }
-
-// waitFor returns after d, or with the context's error.
-func waitFor(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/config/relay/watch.go
+++ b/config/relay/watch.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fulmarfield/fulmarfield/config/commit"
+	"github.com/fulmarfield/fulmarfield/internal/wait"
 	"github.com/fulmarfield/fulmarfield/platform"
 )
 
@@ -38,7 +39,7 @@
 
 // keepRole runs the watch while this daemon is a watcher of its zone.
 func (r *Relay) keepRole(ctx context.Context) error {
-	if err := waitFor(ctx, roleDelay); err != nil {
+	if err := wait.For(ctx, roleDelay); err != nil {
 		return err
 	}
 	for {
@@ -47,7 +48,7 @@
 				return err
 			}
 		}
-		if err := waitFor(ctx, roleInterval); err != nil {
+		if err := wait.For(ctx, roleInterval); err != nil {
 			return err
 		}
 	}
@@ -64,7 +65,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		for r.shouldWatch() {
-			if err := waitFor(ctx, roleInterval); err != nil {
+			if err := wait.For(ctx, roleInterval); err != nil {
 				return err
 			}
 		}
@@ -93,20 +94,20 @@
 
 // watch waits for later versions of the head and puts them in force, until the context ends.
 func (r *Relay) watch(ctx context.Context) {
-	wait := newStoreBackoff()
+	delays := newStoreBackoff()
 	var after platform.Version
 	for ctx.Err() == nil {
 		version, err := r.watchOnce(ctx, after)
 		if err == nil {
 			after = version
-			wait.Reset()
+			delays.Reset()
 			continue
 		}
 		if errors.Is(err, platform.ErrNotFound) {
 			after = 0
 		}
 		r.options.Counters.Count("retry.config_watch")
-		if waitFor(ctx, wait.NextBackOff()) != nil {
+		if wait.For(ctx, delays.NextBackOff()) != nil {
 			return
 		}
 	}
@@ -146,13 +147,13 @@
 // It also asks once after the start; the delay lets peers answer first, so that only few
 // daemons of a restarted fleet read more than the head from the store.
 func (r *Relay) keepPolling(ctx context.Context) error {
-	wait := newStoreBackoff()
+	delays := newStoreBackoff()
 	for first := true; ; first = false {
-		if err := waitFor(ctx, pollDelay+wait.NextBackOff()); err != nil {
+		if err := wait.For(ctx, pollDelay+delays.NextBackOff()); err != nil {
 			return err
 		}
 		if r.IsWatcher() || !first && !r.isBehind() {
-			wait.Reset()
+			delays.Reset()
 			continue
 		}
 		r.options.Counters.Count("retry.config_poll")
--- a/internal/clustertest/cluster.go
+++ b/internal/clustertest/cluster.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/internal/wait"
 	"github.com/fulmarfield/fulmarfield/membership"
 	"github.com/fulmarfield/fulmarfield/ownership"
 	"github.com/fulmarfield/fulmarfield/wire/memnet"
@@ -149,7 +150,7 @@
 // over a cut, and waits while the daemon is paused.
 func (c *Cluster) call(ctx context.Context, from *Daemon, control netip.AddrPort, f func(to *Daemon) error) error {
 	from.gate()
-	if err := sleep(ctx, Latency); err != nil {
+	if err := wait.For(ctx, Latency); err != nil {
 		return err
 	}
 	c.mu.Lock()
@@ -174,7 +175,7 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	if err := sleep(ctx, Latency); err != nil {
+	if err := wait.For(ctx, Latency); err != nil {
 		return err
 	}
 	c.mu.Lock()
@@ -189,15 +190,6 @@
 // runs reports whether the daemon has not ended. c.mu is held.
 func (c *Cluster) runs(d *Daemon) bool { return c.daemons[d.Self.ID] == d }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(d):
-		return nil
-	}
-}
-
 func (c *Cluster) seeds() []membership.Member {
 	if c.Seeds != nil {
 		return c.Seeds()
--- a/standin/loadgen/run.go
+++ b/standin/loadgen/run.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"github.com/fulmarfield/fulmarfield/internal/wait"
 	"github.com/fulmarfield/fulmarfield/telemetry"
 	"github.com/fulmarfield/fulmarfield/wire"
 )
@@ -164,13 +165,4 @@
 }
 
 // sleep waits for d and reports whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
+func sleep(ctx context.Context, d time.Duration) bool { return wait.For(ctx, d) == nil }
--- a/standin/platform/core.go
+++ b/standin/platform/core.go
@@ -14,6 +14,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/fulmarfield/fulmarfield/internal/wait"
 	"github.com/fulmarfield/fulmarfield/platform"
 )
 
@@ -117,7 +118,7 @@
 	if delay <= 0 {
 		return nil
 	}
-	return sleep(ctx, delay)
+	return wait.For(ctx, delay)
 }
 
 // write runs a write that goes on when its caller gives up, as a request on the wire does. A
@@ -143,17 +144,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 func (p *Platform) get(ctx context.Context, source netip.Addr, key string) (platform.Object, error) {
 	if err := p.begin(ctx, "get", p.reads, source); err != nil {
 		return platform.Object{}, err
