Authenticate each call between daemons and its answer

Cause: the proof of a connect call was a constant for each procedure. It covered neither the body nor the answer, so whoever saw one call could forge any claim, offer or configuration, and a recorded call ran again. Datagrams between daemons have had a MAC and a replay window for long.

Change: as in HTTP Digest (RFC 7616), the receiver gives out a nonce. A call proves the cluster key over path, nonce, a number of its own and body; the answer proves it over the proof of its call, status and body. Each call runs once.

--- a/daemon/app.go
+++ b/daemon/app.go
@@ -12,7 +12,6 @@
 	"syscall"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/rs/zerolog"
 	"go.uber.org/dig"
 	"go.uber.org/fx"
@@ -189,8 +188,7 @@
 		return nil, err
 	}
 	peerMux, operatorMux := http.NewServeMux(), http.NewServeMux()
-	peerMux.Handle(fulmarfieldv1connect.NewPeerServiceHandler(n.PeerService(),
-		connect.WithInterceptors(peer.NewServerInterceptor(key, counters))))
+	peerMux.Handle(peer.NewHandler(n.PeerService(), key, counters))
 	operatorMux.Handle(fulmarfieldv1connect.NewOperatorServiceHandler(n.OperatorService()))
 	access := operatorAccess{token: token, counters: counters, logger: logger}
 	l := &listeners{}
--- a/internal/clustertest/socket_test.go
+++ b/internal/clustertest/socket_test.go
@@ -69,7 +69,7 @@
 	d.members.Subscribe(d.owner.OnViewChange)
 	messenger.Handle(func(from membership.DaemonID, m *pb.PeerDatagram) { d.members.HandleDatagram(from, m) })
 
-	_, handler := fulmarfieldv1connect.NewPeerServiceHandler(d, connect.WithInterceptors(peer.NewServerInterceptor(clustertest.Key, counters)))
+	_, handler := peer.NewHandler(d, clustertest.Key, counters)
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
 	go func() { _ = server.Serve(listener) }()
 	context.AfterFunc(ctx, func() { _ = server.Close() })
--- a/peer/calls.go
+++ b/peer/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 
 	"connectrpc.com/connect"
@@ -47,7 +48,7 @@
 }
 
 func callError(call string, to membership.DaemonID, err error) error {
-	if connect.CodeOf(err) == connect.CodeUnauthenticated {
+	if connect.CodeOf(err) == connect.CodeUnauthenticated || errors.Is(err, ErrUnauthenticated) {
 		return fmt.Errorf("%s at %q: %w: %w", call, to, ErrUnauthenticated, err)
 	}
 	return fmt.Errorf("%s at %q: %w: %w", call, to, ErrTransport, err)
--- a/peer/clients.go
+++ b/peer/clients.go
@@ -2,10 +2,6 @@
 
 import (
 	"context"
-	"crypto/hmac"
-	"crypto/sha256"
-	"encoding/hex"
-	"errors"
 	"net/http"
 	"net/netip"
 	"path"
@@ -20,12 +16,6 @@
 	"github.com/fulmarfield/fulmarfield/telemetry"
 )
 
-// ErrUnauthenticated reports a connect call without the proof of the cluster key.
-var ErrUnauthenticated = errors.New("call does not carry the cluster key's proof")
-
-// authHeader carries the proof that the caller knows the cluster key.
-const authHeader = "Fulmar-Peer-Proof"
-
 // ClientSet implements Clients with connect over HTTP/1.1. It keeps one client for each
 // address. Its methods may be called concurrently.
 type ClientSet struct {
@@ -37,13 +27,15 @@
 	clients map[netip.AddrPort]fulmarfieldv1connect.PeerServiceClient
 }
 
-// NewClients returns the clients of the daemons in the view. Calls prove the cluster key and
-// count their message bytes as control.sent.<procedure> and control.received.<procedure>.
+// NewClients returns the clients of the daemons in the view. Calls prove the cluster key, check
+// that answers do, and count their message bytes as control.sent.<procedure> and control.received.<procedure>.
 func NewClients(viewer membership.Viewer, httpClient *http.Client, key []byte, counters *telemetry.Counters) *ClientSet {
+	signing := *httpClient
+	signing.Transport = newSigner(httpClient.Transport, key, counters)
 	return &ClientSet{
 		viewer:      viewer,
-		http:        httpClient,
-		interceptor: clientInterceptor(key, counters),
+		http:        &signing,
+		interceptor: clientInterceptor(counters),
 		clients:     map[netip.AddrPort]fulmarfieldv1connect.PeerServiceClient{},
 	}
 }
@@ -69,10 +61,9 @@
 	return client
 }
 
-func clientInterceptor(key []byte, counters *telemetry.Counters) connect.Interceptor {
+func clientInterceptor(counters *telemetry.Counters) connect.Interceptor {
 	return connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
 		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
-			req.Header().Set(authHeader, proof(key, req.Spec().Procedure))
 			name := procedureName(req.Spec().Procedure)
 			counters.Add("control.sent."+name, messageBytes(req.Any()))
 			response, err := next(ctx, req)
@@ -84,17 +75,18 @@
 	})
 }
 
-// NewServerInterceptor refuses calls that do not prove the cluster key with
-// CodeUnauthenticated, and counts them as drop.peer_unauthenticated. The message bytes of
-// other calls count as for NewClients.
-func NewServerInterceptor(key []byte, counters *telemetry.Counters) connect.Interceptor {
+// NewHandler returns the path and the handler of the connect interface for other daemons. It
+// refuses calls that do not prove the cluster key with CodeUnauthenticated and counts them. The
+// message bytes of other calls count as for NewClients.
+func NewHandler(service fulmarfieldv1connect.PeerServiceHandler, key []byte, counters *telemetry.Counters) (string, http.Handler) {
+	path, handler := fulmarfieldv1connect.NewPeerServiceHandler(service,
+		connect.WithInterceptors(serverInterceptor(counters)))
+	return path, newVerifier(handler, key, counters)
+}
+
+func serverInterceptor(counters *telemetry.Counters) connect.Interceptor {
 	return connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
 		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
-			want := proof(key, req.Spec().Procedure)
-			if !hmac.Equal([]byte(req.Header().Get(authHeader)), []byte(want)) {
-				counters.Drop("peer_unauthenticated")
-				return nil, connect.NewError(connect.CodeUnauthenticated, ErrUnauthenticated)
-			}
 			name := procedureName(req.Spec().Procedure)
 			counters.Add("control.received."+name, messageBytes(req.Any()))
 			response, err := next(ctx, req)
@@ -106,14 +98,6 @@
 	})
 }
 
-// proof is a bearer token for one procedure. It does not cover the message; a network that
-// others can read needs TLS.
-func proof(key []byte, procedure string) string {
-	mac := hmac.New(sha256.New, key)
-	_, _ = mac.Write([]byte("connect " + procedure))
-	return hex.EncodeToString(mac.Sum(nil))
-}
-
 func procedureName(procedure string) string { return strings.ToLower(path.Base(procedure)) }
 
 func messageBytes(m any) int64 {
--- a/peer/clients_test.go
+++ b/peer/clients_test.go
@@ -37,7 +37,7 @@
 	g := NewWithT(t)
 	counters := telemetry.NewCounters()
 	handler := &claimHandler{}
-	_, h := fulmarfieldv1connect.NewPeerServiceHandler(handler, connect.WithInterceptors(peer.NewServerInterceptor(key, counters)))
+	_, h := peer.NewHandler(handler, key, counters)
 	server := httptest.NewServer(h)
 	defer server.Close()
 	addr := netip.MustParseAddrPort(server.Listener.Addr().String())
