Let several runs of the scripts go at once, and end their load on a signal

Cause: the scripts bind fixed addresses, so that a failure run had to wait for the one before, and the load lasts for the longest time that the cases of a run could need. Index 0 has the addresses and the lock of before. New cases: loss, delay and copies of datagrams by the fabric, and planned (drain, a balancer leaves, another joins). The test of the fabric that expected one datagram there expects two.

--- a/cmd/loadgen/main.go
+++ b/cmd/loadgen/main.go
@@ -1,4 +1,5 @@
-// Command loadgen sends the load of many callers, or summarizes a run directory.
+// Command loadgen sends the load of many callers, or summarizes a run directory. SIGUSR1 ends
+// the load early; the final check of each flow still follows.
 package main
 
 import (
@@ -8,7 +9,9 @@
 	"io"
 	"net/netip"
 	"os"
+	"os/signal"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -126,6 +129,9 @@
 func run(o *options, log zerolog.Logger) error {
 	ctx, cancel := process.UntilSignal()
 	defer cancel()
+	end, stop := signal.NotifyContext(ctx, syscall.SIGUSR1)
+	defer stop()
+	o.config.End = end.Done()
 	o.config.Log = log
 	o.config.Progress = func(line string) { _, _ = fmt.Fprintln(os.Stderr, line) }
 	report := loadgen.Run(ctx, o.config)
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -6,9 +6,12 @@
 # shellcheck shell=bash
 set -euo pipefail
 
-FABRIC_ADMIN=127.0.0.1:7200
-PLATFORM_BIND=127.0.99.1:7100
-PLATFORM_REACH=127.1.99.1:7100
+# Runs with different indexes use different addresses and may go at once. The index moves the
+# third octet of the addresses of VMs, services and callers by ZONES_PER_INDEX, and the host
+# number of the platform, whose zone the fabric knows by its number, and of the fabric's admin.
+MAX_INDEX=4
+ZONES_PER_INDEX=10
+INDEX=${FULMAR_RUN_INDEX:-0}
 # Routes to a balancer that died are withdrawn after this many seconds.
 WITHDRAW_SECONDS=1
 # Highest host number of a balancer that the fabric relays in each zone.
@@ -43,13 +46,14 @@
   DECLARATION=deployments/$DEPLOYMENT.yaml
   [ -f "$DECLARATION" ] || bad_setting "--deployment $DEPLOYMENT: allowed: hopkrans-hoeve, kelpiestone-engraving"
   [[ $SEED =~ ^[0-9]{1,9}$ ]] || bad_setting "--seed $SEED: allowed: a number of up to 9 digits"
+  set_addresses
   local program
   for program in fulmar-balancer fulmarctl standin-platform standin-fabric standin-upstream loadgen; do
     [ -x "bin/$program" ] || fail "bin/$program is missing: run make build first"
   done
-  # Two runs would bind the same addresses.
-  exec 9>"${TMPDIR:-/tmp}/fulmarfield.lock"
-  flock -n 9 || fail "another run of these scripts uses the addresses"
+  # Two runs of the same index would bind the same addresses.
+  exec 9>"${TMPDIR:-/tmp}/fulmarfield$([ "$INDEX" -eq 0 ] || printf -- '-%s' "$INDEX").lock"
+  flock -n 9 || fail "another run of these scripts uses the addresses of index $INDEX"
   RUN_DIR=$(mktemp -d "${TMPDIR:-/tmp}/fulmarfield.XXXXXX")
   mkdir -p "$RUN_DIR"/{log,upstream,daemon}
   trap cluster_exit EXIT
@@ -58,9 +62,30 @@
   touch "$RUN_DIR/events.tsv"
   (umask 077; head -c 32 /dev/urandom | od -An -v -tx1 | tr -d ' \n' >"$RUN_DIR/key")
   RANDOM=$SEED
+  move_declaration
   read_declaration
 }
 
+# set_addresses derives the addresses of the run from its index.
+set_addresses() {
+  [[ $INDEX =~ ^[0-9]$ ]] && ((INDEX <= MAX_INDEX)) || bad_setting "FULMAR_RUN_INDEX=$INDEX: allowed: 0 to $MAX_INDEX"
+  ZONE_BASE=$((INDEX * ZONES_PER_INDEX))
+  FABRIC_ADMIN=127.0.0.$((INDEX + 1)):7200
+  PLATFORM_BIND=127.0.99.$((INDEX + 1)):7100
+  PLATFORM_REACH=127.1.99.$((INDEX + 1)):7100
+  CALLER_NETWORK=127.9.$((ZONE_BASE + 1)).1
+}
+
+# move_declaration copies the declaration into the run's directory with the run's addresses.
+move_declaration() {
+  local moved=$RUN_DIR/$DEPLOYMENT.yaml zone
+  cp "$DECLARATION" "$moved"
+  for ((zone = ZONES_PER_INDEX - 1; zone >= 1; zone--)); do
+    sed -i -E "s/(address: \"?127\\.[12]\\.)$zone(\\.[0-9]+)/\1$((ZONE_BASE + zone))\2/" "$moved"
+  done
+  DECLARATION=$moved
+}
+
 # flow_field LINE NAME: value of a field of a YAML flow mapping on one line.
 flow_field() { sed -n "s/.*[{ ]$2: *\"\{0,1\}\([^,}\"]*\)\"\{0,1\} *[,}].*/\1/p" <<<"$1"; }
 
@@ -89,7 +114,7 @@
   name=$(flow_field "$1" name)
   ip=$(flow_field "$1" address)
   DAEMONS+=("$name")
-  DAEMON_ZONE[$name]=$(cut -d. -f3 <<<"$ip")
+  DAEMON_ZONE[$name]=$(($(cut -d. -f3 <<<"$ip") - ZONE_BASE))
   DAEMON_HOST[$name]=$(cut -d. -f4 <<<"$ip")
 }
 
@@ -158,7 +183,7 @@
   local args=() zone entry name service ip slots n=0
   start platform bin/standin-platform --listen "$PLATFORM_BIND" --deployment "$DECLARATION"
   for entry in "${SERVICES[@]}"; do args+=(--service "${entry#*=}"); done
-  for zone in "${!ZONES[@]}"; do args+=(--vm "127.0.$((zone + 1)).1-$MAX_DAEMON_HOST"); done
+  for zone in "${!ZONES[@]}"; do args+=(--vm "127.0.$((ZONE_BASE + zone + 1)).1-$MAX_DAEMON_HOST"); done
   for name in "${!UPSTREAM_IP[@]}"; do args+=(--vm "${UPSTREAM_IP[$name]}"); done
   start fabric bin/standin-fabric --vm "${PLATFORM_BIND%:*}" "${args[@]}" --admin-address "$FABRIC_ADMIN" --seed "$SEED"
   for entry in "${UPSTREAMS[@]}"; do
@@ -180,10 +205,11 @@
 
 # start_daemon NAME: starts a balancer and registers it as a VM; it gets no datagrams yet.
 start_daemon() {
-  local name=$1 zone=${DAEMON_ZONE[$1]} host=${DAEMON_HOST[$1]} seeds=() other
-  local bind=127.0.$zone.$host reach=127.1.$zone.$host
+  local name=$1 zone=${DAEMON_ZONE[$1]} seeds=() other
+  local bind reach
+  bind=$(bind_ip "$name") reach=$(reach_ip "$name")
   for other in "${DAEMONS[@]}"; do
-    [ "$other" = "$name" ] || seeds+=(--peers "127.1.${DAEMON_ZONE[$other]}.${DAEMON_HOST[$other]}:7002")
+    [ "$other" = "$name" ] || seeds+=(--peers "$(reach_ip "$other"):7002")
   done
   curl -sS -f -m 5 -X PUT "http://$PLATFORM_BIND/admin/vms/$name" -d "{\"kind\":\"daemon\",\"zone\":\"${ZONES[$((zone - 1))]}\",
     \"peer_address\":\"$reach:7001\",\"control_address\":\"$reach:7002\",\"data_address\":\"$reach:7000\"}" >/dev/null
@@ -195,7 +221,9 @@
   printf '%s %s\n' "$name" "$(admin_url "$name")" >>"$RUN_DIR/daemon-list"
 }
 
-bind_ip() { printf '127.0.%s.%s' "${DAEMON_ZONE[$1]}" "${DAEMON_HOST[$1]}"; }
+vm_ip() { printf '127.%s.%s.%s' "$1" "$((ZONE_BASE + DAEMON_ZONE[$2]))" "${DAEMON_HOST[$2]}"; }
+bind_ip() { vm_ip 0 "$1"; }
+reach_ip() { vm_ip 1 "$1"; }
 admin_url() { printf 'http://%s:7003' "$(bind_ip "$1")"; }
 
 # wait_daemon NAME: until the admin address answers; wait_ready: until it has a configuration.
@@ -205,9 +233,14 @@
 fabric_add() { post "http://$FABRIC_ADMIN/daemons/add?address=$(bind_ip "$1")"; }
 fabric_remove() { post "http://$FABRIC_ADMIN/daemons/remove?address=$(bind_ip "$1")"; }
 
-# fabric_cut ZONE ZONE, fabric_heal ZONE ZONE; the platform is zone 99.
-fabric_cut() { post "http://$FABRIC_ADMIN/cut?a=$1&b=$2"; }
-fabric_heal() { post "http://$FABRIC_ADMIN/heal?a=$1&b=$2"; }
+# fabric_cut ZONE ZONE, fabric_heal ZONE ZONE; the platform is zone 99 at every index.
+PLATFORM_ZONE=99
+fabric_zone() { printf '%s' $(($1 == PLATFORM_ZONE ? PLATFORM_ZONE : ZONE_BASE + $1)); }
+fabric_cut() { post "http://$FABRIC_ADMIN/cut?a=$(fabric_zone "$1")&b=$(fabric_zone "$2")"; }
+fabric_heal() { post "http://$FABRIC_ADMIN/heal?a=$(fabric_zone "$1")&b=$(fabric_zone "$2")"; }
+
+# fabric_fault loss|duplicate|delay QUERY, for example: fabric_fault loss share=0.02
+fabric_fault() { post "http://$FABRIC_ADMIN/$1?$2"; }
 
 # platform_fault FIELD VALUE: sets one fault of the platform and keeps the others.
 platform_fault() {
@@ -329,11 +362,14 @@
   local seconds=$1 flows=$2 args=() entry
   shift 2
   for entry in "${SERVICES[@]}"; do args+=(--service "$entry"); done
-  bin/loadgen "${args[@]}" --duration "${seconds}s" --flows "$flows" --seed "$SEED" --report "$RUN_DIR/loadgen.json" "$@" \
+  bin/loadgen "${args[@]}" --duration "${seconds}s" --flows "$flows" --seed "$SEED" --network "$CALLER_NETWORK" --report "$RUN_DIR/loadgen.json" "$@" \
     >"$RUN_DIR/log/loadgen.log" 2>&1 9>&- &
   PIDS[loadgen]=$!
 }
 
+# end_load ends the load before its time; the last check of each flow still follows.
+end_load() { kill -USR1 "${PIDS[loadgen]}" 2>/dev/null || true; }
+
 wait_load() {
   local status=0
   wait "${PIDS[loadgen]}" || status=$?
--- a/scripts/failure-run.sh
+++ b/scripts/failure-run.sh
@@ -10,16 +10,29 @@
   FULMAR_FAILURE_TIMED=1 exec timeout --kill-after=20 420 "$0" "$@"
 fi
 
-CASES="kill pause zone-cut platform-cut platform-outage platform-slow lost-answers operator-race half-open lying-upstream"
+CASES="kill pause zone-cut platform-cut platform-outage platform-slow lost-answers operator-race half-open lying-upstream loss delay copies planned"
 SETTLE_SECONDS=8
 # Between the end of a fault and the next round, or the end of the load.
 RECOVER_SECONDS=8
+LOSS_SHARE=0.02
+# Later than the 60 ms after which a balancer repeats a request to an upstream, so that
+# datagrams arrive after their repeats and out of order.
+DELAY_SHARE=0.2 DELAY_MIN=1ms DELAY_MAX=150ms
+COPY_SHARE=0.1
+# Upstreams that the rounds of the planned changes drain, which no other case touches.
+DRAINED=(1 2 3 14 15)
+# First host number of the balancers that join.
+JOIN_HOST=3
 
 usage() {
-  printf 'usage: %s --case NAME[,NAME] [--seed N] [--deployment D] [--repeat N] [--hold SECONDS] [--flows N]\ncases: %s\n' "$0" "$CASES"
+  printf 'usage: %s --case NAME[,NAME] [--seed N] [--deployment D] [--repeat N] [--hold SECONDS] [--flows N] [--tail SECONDS] [--index N] [--save DIR]
+  --tail   end the load that long after the last round, not after its longest time
+  --index  use other addresses, so that runs of different indexes may go at once (0 to 4)
+  --save   move the files of the run there
+cases: %s\n' "$0" "$CASES"
 }
 
-deployment=hopkrans-hoeve seed=1 cases= repeat=1 hold=6 flows=600
+deployment=hopkrans-hoeve seed=1 cases= repeat=1 hold=6 flows=600 tail= save=
 while [ $# -gt 0 ]; do
   case $1 in
     --deployment) deployment=${2:-} ;;
@@ -28,6 +41,9 @@
     --repeat) repeat=${2:-} ;;
     --hold) hold=${2:-} ;;
     --flows) flows=${2:-} ;;
+    --tail) tail=${2:-} ;;
+    --index) FULMAR_RUN_INDEX=${2:-} ;;
+    --save) save=${2:-} ;;
     --help) usage; exit 0 ;;
     *) usage >&2; exit 2 ;;
   esac
@@ -37,6 +53,7 @@
 [[ $repeat =~ ^[1-5]$ ]] || bad_setting "--repeat $repeat: allowed: 1 to 5"
 [[ $hold =~ ^[0-9]{1,2}$ ]] || bad_setting "--hold $hold: allowed: 0 to 99"
 [[ $flows =~ ^[1-9][0-9]{0,4}$ ]] || bad_setting "--flows $flows: allowed: 1 to 99999"
+[[ $tail =~ ^[0-9]{0,2}$ ]] || bad_setting "--tail $tail: allowed: 0 to 99"
 [ -n "$cases" ] || bad_setting "--case: allowed: $CASES"
 chosen=()
 for name in ${cases//,/ }; do
@@ -132,6 +149,36 @@
   upstream_fault "$first_service-13" freeze on=false
 }
 
+begin_loss() { mark fault "loss of $LOSS_SHARE of the datagrams"; fabric_fault loss "share=$LOSS_SHARE"; }
+end_loss() { mark info "no more loss"; fabric_fault loss share=0; }
+
+begin_delay() {
+  mark fault "$DELAY_SHARE of the datagrams late by $DELAY_MIN to $DELAY_MAX"
+  fabric_fault delay "share=$DELAY_SHARE&min=$DELAY_MIN&max=$DELAY_MAX"
+}
+end_delay() { mark info "no more delay"; fabric_fault delay "share=0&max=0s"; }
+
+begin_copies() { mark fault "copies of $COPY_SHARE of the datagrams"; fabric_fault duplicate "share=$COPY_SHARE"; }
+end_copies() { mark info "no more copies"; fabric_fault duplicate share=0; }
+
+# A drained upstream stays drained. A drain counts as planned only once it is committed; with a
+# fault of the platform it may be refused or unknown.
+begin_planned() {
+  local name=$first_service-${DRAINED[round]} status=0
+  control command drain upstream "$name" >>"$RUN_DIR/log/drain.log" 2>&1 || status=$?
+  if [ "$status" -eq 0 ]; then mark planned "drain $name"; else mark info "draining $name ended with status $status"; fi
+  pick_daemon planned
+  mark planned "stop ${victim[planned]}"
+  stop_daemon "${victim[planned]}"
+  mark info "${victim[planned]} has ended"
+}
+end_planned() {
+  local zone=$((round % ${#ZONES[@]}))
+  local name=${ZONES[zone]}-$((JOIN_HOST + round))
+  mark planned "add $name"
+  add_daemon "$name" $((zone + 1)) $((JOIN_HOST + round))
+}
+
 say "$deployment: ${chosen[*]}, $repeat times, seed $seed"
 cluster_start
 # A case may need several seconds to begin or end; the load lasts until all have ended.
@@ -145,6 +192,14 @@
   sleep "$RECOVER_SECONDS"
 done
 snapshot_flows flows-end.json
+if [ -n "$tail" ]; then
+  sleep "$tail"
+  end_load
+fi
 wait_load
 collect
+if [ -n "$save" ]; then
+  mkdir -p "$save"
+  cp -r "$RUN_DIR"/{log,daemon,upstream,*.json,*.tsv,*.txt} "$save"/
+fi
 bin/loadgen --summarize "$RUN_DIR" --list-phases --list-broken
--- a/standin/fabric/fabric.go
+++ b/standin/fabric/fabric.go
@@ -232,7 +232,7 @@
 		return
 	}
 	copies := 1
-	if r.duplicate > 0 && to.Port() != UpstreamPort && l.rng.Float64() < r.duplicate {
+	if r.duplicate > 0 && l.rng.Float64() < r.duplicate {
 		f.counters.Count("duplicated")
 		copies++
 	}
--- a/standin/fabric/fabric_test.go
+++ b/standin/fabric/fabric_test.go
@@ -185,7 +185,7 @@
 	g.Expect(drain(upstream)).To(Equal(1))
 }
 
-// Guards against shares that are not applied, and against copies on the hop to upstreams.
+// Guards against shares that are not applied, and against copies that spare a hop.
 func TestLossDuplicationDelay(t *testing.T) {
 	g := NewWithT(t)
 	f := startFabric(t)
@@ -200,7 +200,7 @@
 	sendTo(t, a, toB, 10, "x")
 	g.Expect(drain(b)).To(Equal(20))
 	sendTo(t, a, netip.MustParseAddrPort("127.1.61.51:9000"), 10, "x")
-	g.Expect(drain(upstream)).To(Equal(10))
+	g.Expect(drain(upstream)).To(Equal(20))
 	f.HealAll()
 	g.Expect(f.SetDelay(fabric.Delay{Share: 1, Min: 20 * time.Millisecond, Max: 40 * time.Millisecond})).To(Succeed())
 	start := time.Now()
--- a/standin/fabric/faults.go
+++ b/standin/fabric/faults.go
@@ -180,9 +180,7 @@
 	return nil
 }
 
-// SetDuplication sends the given share of datagrams twice. Datagrams to upstreams are spared:
-// upstreams run each request that they receive, so a copy made on that hop would run a
-// request twice whatever the balancer does. It returns ErrBadShare.
+// SetDuplication sends the given share of datagrams twice, on all hops. It returns ErrBadShare.
 func (f *Fabric) SetDuplication(share float64) error {
 	if !validShare(share) {
 		return fmt.Errorf("duplication %v: %w", share, ErrBadShare)
--- a/standin/loadgen/config.go
+++ b/standin/loadgen/config.go
@@ -24,7 +24,10 @@
 	// Churn is the mean number of short flows that arrive each second at each service.
 	Churn float64
 	// Duration is the length of the load; the final check of each flow comes after it.
-	Duration    time.Duration
+	Duration time.Duration
+	// End ends the load before Duration when it is closed; the final check still follows.
+	// Nil means that Duration alone ends it.
+	End         <-chan struct{}
 	MaxRequests int64
 	// Final spreads the last request of each long-lived flow after the load.
 	Final time.Duration
--- a/standin/loadgen/run.go
+++ b/standin/loadgen/run.go
@@ -44,6 +44,13 @@
 func Run(ctx context.Context, c Config) *Report {
 	load, cancel := context.WithTimeout(ctx, c.Duration)
 	defer cancel()
+	go func() {
+		select {
+		case <-c.End:
+			cancel()
+		case <-load.Done():
+		}
+	}()
 	r := &runner{config: c, counters: telemetry.NewCounters(), load: load, parent: ctx}
 	r.remaining.Store(c.MaxRequests)
 	started := time.Now()
