--- a/cmd/loadgen/main.go
+++ b/cmd/loadgen/main.go
@@ -49,6 +49,8 @@
 	ListBroken    bool          `long:"list-broken" description:"with --summarize, print each broken connection"`
 	ListPhases    bool          `long:"list-phases" description:"with --summarize, print what became of the requests after each event"`
 
+	Row bool `long:"row" description:"with --summarize, print one line with tabs for a table of runs instead"`
+
 	config loadgen.Config
 }
 
@@ -153,7 +155,11 @@
 		return err
 	}
 	violations := r.Check()
-	if err := r.WriteTable(w, violations); err != nil {
+	write := r.WriteTable
+	if o.Row {
+		write = r.WriteRow
+	}
+	if err := write(w, violations); err != nil {
 		return err
 	}
 	if o.ListPhases {
--- a/scripts/failure-run.sh
+++ b/scripts/failure-run.sh
@@ -28,7 +28,7 @@
   printf 'usage: %s --case NAME[,NAME] [--seed N] [--deployment D] [--repeat N] [--hold SECONDS] [--flows N] [--tail SECONDS] [--index N] [--save DIR]
   --tail   end the load that long after the last round, not after its longest time
   --index  use other addresses, so that runs of different indexes may go at once (0 to 4)
-  --save   move the files of the run there
+  --save   copy the files of the run and its row for a table of runs there
 cases: %s\n' "$0" "$CASES"
 }
 
@@ -201,5 +201,6 @@
 if [ -n "$save" ]; then
   mkdir -p "$save"
   cp -r "$RUN_DIR"/{log,daemon,upstream,*.json,*.tsv,*.txt} "$save"/
+  bin/loadgen --summarize "$RUN_DIR" --row >"$save/row" 2>/dev/null || true # the status is that of the summary below
 fi
 bin/loadgen --summarize "$RUN_DIR" --list-phases --list-broken
--- a/standin/loadgen/loadgen_test.go
+++ b/standin/loadgen/loadgen_test.go
@@ -92,12 +92,16 @@
 }
 
 func runLoad(seed uint64) *loadgen.Report {
-	return loadgen.Run(context.Background(), loadgen.Config{
+	return loadgen.Run(context.Background(), loadConfig(seed))
+}
+
+func loadConfig(seed uint64) loadgen.Config {
+	return loadgen.Config{
 		Services: []loadgen.Service{{Name: "bindery", Address: service}}, Flows: 40, Churn: 20,
 		Ramp: 200 * time.Millisecond, Duration: time.Second, Final: 200 * time.Millisecond, MaxRequests: 5000, Think: 50 * time.Millisecond,
 		Deadline: time.Second, NonIdempotent: 0.5, Large: 0.2, Seed: seed, Network: netip.MustParseAddr("127.9.63.1"),
 		Listen: process.ListenUDP, Log: zerolog.Nop(),
-	})
+	}
 }
 
 // check writes the run as files and checks it as the scripts do.
@@ -130,6 +134,23 @@
 
 func same(p *pb.Packet) []*pb.Packet { return []*pb.Packet{p} }
 
+// Guards against an end of the load that is not heeded, or that leaves out the final check of
+// each flow, which finds the connections that broke unnoticed.
+func TestLoadEndsEarlyWithItsFinalCheck(t *testing.T) {
+	g := NewWithT(t)
+	s := startSite(t, same)
+	c := loadConfig(3)
+	end := make(chan struct{})
+	c.Duration, c.Churn, c.Think, c.End = time.Minute, 0, time.Hour, end
+	time.AfterFunc(500*time.Millisecond, func() { close(end) })
+	report := loadgen.Run(context.Background(), c)
+	rules, table := s.check(t, report)
+	g.Expect(rules).To(BeEmpty(), table)
+	g.Expect(report.DurationMS).To(BeNumerically("<", 10_000))
+	g.Expect(report.Services[0].FlowsOpened).To(BeEquivalentTo(c.Flows))
+	g.Expect(report.Services[0].Statuses["ok"]).To(BeNumerically(">=", c.Flows))
+}
+
 // Guards against load that reports violations of a system without fault, also when the
 // network loses datagrams.
 func TestHealthyRunHoldsEverything(t *testing.T) {
--- a/standin/summary/summary_test.go
+++ b/standin/summary/summary_test.go
@@ -134,3 +134,22 @@
 	g.Expect(out.String()).To(MatchRegexp(`generation in force +schuur-1 7, winkel-1 unknown`))
 	g.Expect(out.String()).To(MatchRegexp(`imbalance, end +1.500`))
 }
+
+// Guards against a row of a table of runs that leaves a service out or hides a violation.
+func TestRowAddsServicesUp(t *testing.T) {
+	g := NewWithT(t)
+	broken := `{"flow":"` + flow + `","cause":"half_open","at_ms":5000}`
+	run := readRun(t, map[string]string{
+		"loadgen.json": `{"started_ms":1000,"services":[
+			{"name":"bindery","requests":7,"statuses":{"ok":5},"broken":[` + broken + `],"refusals":{"queue_full":2}},
+			{"name":"galerij","requests":4,"statuses":{"ok":1},"broken":[` + broken + `],"refusals":{"queue_full":1},"unknown":{"stale_guard":1}}]}`,
+		"events.tsv": "4000\tfault\tkill schuur-1\n",
+	})
+	var out strings.Builder
+	g.Expect(run.WriteRow(&out, run.Check())).To(Succeed())
+	g.Expect(out.String()).To(Equal("held\thalf_open 2\tqueue_full 3\tstale_guard 1\tnone\t11\n"))
+	out.Reset()
+	run.Events = nil
+	g.Expect(run.WriteRow(&out, run.Check())).To(Succeed())
+	g.Expect(out.String()).To(HavePrefix("VIOLATED connections broken by a planned change: 2 "))
+}
