Drop packets that queued in a pause until the daemon has given up its resources

Cause: a daemon that wakes from a pause notices it when its membership timer runs. Packets that queued meanwhile could be handled before. Of a flow that a new owner had placed during the pause it knew nothing, so it took the upstream of the bucket for it. Where the flow was diverted, that is another upstream: its admission sent its guard token to the caller, the next request carried it, and the upstream reset a flow that it did not know. Change: membership.Paused tells that the timer stands still for longer than DropTimeout, until the pause is dealt with. Packets from the fabric and forwards are dropped meanwhile (drop.paused), and no flow is reset as unknown.

--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -41,10 +41,17 @@
 	steerer   steerer
 	admitter  admitter
 	counters  *telemetry.Counters
+	// paused reports that this daemon may have lost its resources in a pause that it has not
+	// dealt with: packets that queued meanwhile may be for flows that a new owner placed.
+	paused func() bool
 }
 
 // ingress takes a packet from the fabric.
 func (d *dispatcher) ingress(raw []byte) {
+	if d.paused() {
+		d.counters.Drop("paused")
+		return
+	}
 	h, err := wire.ParseHeader(raw)
 	if err != nil {
 		d.counters.Drop(decodeReason(err))
@@ -80,6 +87,10 @@
 
 // forwarded takes a packet that another daemon passed on. It does not keep raw.
 func (d *dispatcher) forwarded(_ membership.DaemonID, hops uint32, role pb.ForwardRole, raw []byte) {
+	if d.paused() {
+		d.counters.Drop("paused")
+		return
+	}
 	h, err := wire.ParseHeader(raw)
 	if err != nil {
 		d.counters.Drop(decodeReason(err))
--- a/daemon/dispatch_test.go
+++ b/daemon/dispatch_test.go
@@ -19,6 +19,7 @@
 	active             bool
 	hops               []uint32
 	steered            [][]byte
+	paused             bool
 	callers, upstreams []*pb.Packet
 }
 
@@ -51,7 +52,7 @@
 }
 
 func newDispatcher(r *roles) *dispatcher {
-	return &dispatcher{config: r, router: r, forwarder: r, steerer: steererFake{r}, admitter: admitterFake{r}, counters: telemetry.NewCounters()}
+	return &dispatcher{config: r, router: r, forwarder: r, steerer: steererFake{r}, admitter: admitterFake{r}, counters: telemetry.NewCounters(), paused: func() bool { return r.paused }}
 }
 
 func encoded(t *testing.T, p *pb.Packet) []byte {
@@ -64,6 +65,30 @@
 	return raw
 }
 
+// Guards against packets that queued in a pause and are handled before the daemon has given up
+// what others took over.
+func TestNothingIsHandledInAPause(t *testing.T) {
+	g := NewWithT(t)
+	r := &roles{active: true, paused: true}
+	d := newDispatcher(r)
+	fromCaller := encoded(t, &pb.Packet{Kind: pb.Kind_KIND_REQUEST, RequestId: 1})
+	toAdmission := encoded(t, &pb.Packet{Kind: pb.Kind_KIND_REQUEST, RequestId: 1, Service: 1, Upstream: 1})
+	handle := func() {
+		d.ingress(fromCaller)
+		d.forwarded("other", 1, pb.ForwardRole_FORWARD_ROLE_FLOW_OWNER, fromCaller)
+		d.forwarded("other", 1, pb.ForwardRole_FORWARD_ROLE_ADMISSION, toAdmission)
+	}
+	handle()
+	g.Expect(r.steered).To(BeEmpty())
+	g.Expect(r.callers).To(BeEmpty())
+	g.Expect(r.hops).To(BeEmpty())
+	g.Expect(d.counters.Get("drop.paused")).To(BeEquivalentTo(3))
+	r.paused = false
+	handle()
+	g.Expect(r.steered).To(HaveLen(2))
+	g.Expect(r.callers).To(HaveLen(1))
+}
+
 // Guards against a packet that ingress must refuse: each is counted under its own name.
 func TestIngressRefuses(t *testing.T) {
 	cases := map[string]struct {
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -114,7 +114,7 @@
 		Self: o.Self.ID, Incarnation: n.membership.SelfIncarnation, Key: o.Key, Conn: o.PeerConn,
 		Viewer: late, Counters: o.Counters, Logger: o.Logger,
 	})
-	n.dispatcher = &dispatcher{conn: o.DataConn, config: n.relay, forwarder: n.messenger, counters: o.Counters}
+	n.dispatcher = &dispatcher{conn: o.DataConn, config: n.relay, forwarder: n.messenger, counters: o.Counters, paused: n.membership.Paused}
 	n.buildRoles(o)
 	n.messenger.Handle(n.handlePeer)
 	n.messenger.HandleForward(n.dispatcher.forwarded)
@@ -135,7 +135,7 @@
 	n.steerer = steering.New(steering.Options{
 		Config: n.relay, Router: routes, Sender: n.messenger, Output: steeringOutput{n.dispatcher},
 		Counters: o.Counters, Logger: o.Logger,
-		Isolated: func() bool { return !n.membership.View().HearsMajority() },
+		Isolated: func() bool { return n.membership.Paused() || !n.membership.View().HearsMajority() },
 	})
 	n.admissions = request.New(request.Options{
 		Self: o.Self.ID, Config: n.relay, Router: routes, Load: n.load,
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -18,6 +18,8 @@
 	changed chan struct{}
 	// incarnation is the one of self, readable for each datagram without the mutex.
 	incarnation atomic.Uint64
+	// tickedAt is when the timer of Run last went on, nil before Run.
+	tickedAt atomic.Pointer[time.Time]
 
 	subscriberMu sync.Mutex
 	subscribers  []func(previous, current *View)
--- a/membership/run.go
+++ b/membership/run.go
@@ -17,6 +17,7 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	last := time.Now()
+	m.tickedAt.Store(&last)
 	nextProbe := last
 	m.startJoin(last)
 	for {
@@ -25,6 +26,7 @@
 			m.resume(now, now.Sub(last))
 		}
 		last = now
+		m.tickedAt.Store(&now)
 		m.dropSuspects(now)
 		m.checkProbes(now)
 		if !now.Before(nextProbe) {
@@ -42,6 +44,14 @@
 	}
 }
 
+// Paused reports whether this daemon was paused for longer than DropTimeout and Run has not
+// dealt with that yet. Others may have taken its resources over, so that what it believes to
+// hold must not be used. It is false before Run.
+func (m *Membership) Paused() bool {
+	at := m.tickedAt.Load()
+	return at != nil && time.Since(*at) > DropTimeout
+}
+
 func (m *Membership) runNotifier(ctx context.Context) {
 	var previous *View
 	previous = m.notify(&View{})
--- a/test/failure/drain_test.go
+++ b/test/failure/drain_test.go
@@ -25,25 +25,25 @@
 		g.Expect(err).NotTo(HaveOccurred())
 		c.Cut(2, testcluster.PlatformZone)
 		time.Sleep(time.Second)
-		openMany(g, c, 100)
+		openMany(g, c, "galerij", 100)
 		drained := c.Upstreams["galerij-1"]
 		before := drained.Report(false).FlowsKnown
 		g.Expect(before).To(BeNumerically(">", 0))
 		command(t, c, "schuur-1", "drain upstream galerij-1")
 		time.Sleep(newWorkLimit)
 		limit := time.Now().UnixMilli()
-		openMany(g, c, 200)
+		openMany(g, c, "galerij", 200)
 		report := drained.Report(false)
 		g.Expect(report.LastOpenMS).To(BeNumerically("<", limit))
 		g.Expect(report.FlowsKnown).To(Equal(before), "the flows that it has stay")
 	})
 }
 
-// openMany opens flows to galerij and leaves them open.
-func openMany(g *WithT, c *testcluster.Cluster, n int) {
+// openMany opens flows to a service and leaves them open.
+func openMany(g *WithT, c *testcluster.Cluster, service string, n int) {
 	for range n {
 		ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
-		_, err := c.Open(ctx, "galerij")
+		_, err := c.Open(ctx, service)
 		cancel()
 		g.Expect(err).NotTo(HaveOccurred())
 	}
--- a/test/testcluster/clients.go
+++ b/test/testcluster/clients.go
@@ -25,6 +25,7 @@
 	cluster *Cluster
 	self    netip.Addr
 	viewer  membership.Viewer
+	gate    *gate
 }
 
 func (c *clients) Client(id membership.DaemonID) (fulmarfieldv1connect.PeerServiceClient, error) {
@@ -77,12 +78,14 @@
 // call makes one call with the latency of both directions; the answer is lost when a cut or a
 // death comes before it arrives.
 func call[T any](ctx context.Context, from *clients, to *Daemon, do func(fulmarfieldv1connect.PeerServiceHandler) (*connect.Response[T], error)) (*connect.Response[T], error) {
+	from.gate.wait()
 	if to == nil || !from.reaches(to) {
 		return nil, fail(ctx)
 	}
 	time.Sleep(latencyZones)
 	r, err := do(to.Node.PeerService())
 	time.Sleep(latencyZones)
+	from.gate.wait()
 	if !from.reaches(to) {
 		return nil, fail(ctx)
 	}
@@ -93,7 +96,7 @@
 	c.cluster.mu.Lock()
 	alive := to.alive
 	c.cluster.mu.Unlock()
-	return alive && !c.cluster.isCut(c.self, to.Member.PeerAddress.Addr())
+	return alive && !to.peerGate.isClosed() && !c.cluster.isCut(c.self, to.Member.PeerAddress.Addr())
 }
 
 func fail(ctx context.Context) error {
--- a/test/testcluster/cluster.go
+++ b/test/testcluster/cluster.go
@@ -85,6 +85,8 @@
 	alive  bool
 	inUse  bool // in the fabric's list
 	cancel context.CancelFunc
+	// Closed while the daemon is paused; the peer gate holds its calls and timers, too.
+	dataGate, peerGate gate
 }
 
 // Start builds the deployment and applies its declaration. It must be called in a synctest
@@ -126,6 +128,8 @@
 func (c *Cluster) Close() {
 	c.mu.Lock()
 	for _, d := range c.daemons {
+		d.dataGate.open()
+		d.peerGate.open()
 		if d.alive {
 			d.alive = false
 			d.cancel()
@@ -190,22 +194,24 @@
 		log = zerolog.New(c.options.Log).With().Str("daemon", name).Timestamp().Logger()
 	}
 	store := c.Platform.Store(address)
-	node := daemon.NewNode(daemon.Options{
+	d := &Daemon{Member: member, alive: true, inUse: true}
+	d.Node = daemon.NewNode(daemon.Options{
 		Self: member, Key: []byte("a key of at least 16 bytes"), Store: store,
-		DataConn: c.listen(netip.AddrPortFrom(address, dataPort)), PeerConn: c.listen(member.PeerAddress),
-		Seeds: daemon.SeedsFrom(member.ID, nil, store),
+		DataConn: &gatedConn{c.listen(netip.AddrPortFrom(address, dataPort)), &d.dataGate},
+		PeerConn: &gatedConn{c.listen(member.PeerAddress), &d.peerGate},
+		Seeds:    daemon.SeedsFrom(member.ID, nil, store),
 		Clients: func(v membership.Viewer) daemon.Clients {
-			return &clients{cluster: c, self: address, viewer: v}
+			return &clients{cluster: c, self: address, viewer: v, gate: &d.peerGate}
 		},
 		Counters: telemetry.NewCounters(), Logger: log, Seed: c.options.Seed + xxhash.Sum64String(name),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	d := &Daemon{Node: node, Member: member, alive: true, inUse: true, cancel: cancel}
+	d.cancel = cancel
 	c.mu.Lock()
 	c.daemons[name] = d
 	c.mu.Unlock()
 	c.wg.Go(func() {
-		if err := node.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
+		if err := d.Node.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
 			c.t.Errorf("daemon %s: %v", name, err)
 		}
 	})
@@ -246,6 +252,8 @@
 	d := c.daemons[name]
 	d.alive = false
 	c.mu.Unlock()
+	d.dataGate.open()
+	d.peerGate.open()
 	d.cancel()
 	time.AfterFunc(withdrawAfter, func() { c.Withdraw(name) })
 }
