Probe the upstream of a handed-on request without resetting its flow

A holder that has recovered an admission probes the upstream by a KEEPALIVE on the flow of the request that it gets. Where the request was handed on from another upstream's admission, the upstream does not know the flow and answers RESET, which went to the caller and ended its flow. Change: the KEEPALIVE for a request that was handed on is marked standalone, as the request is, so that the upstream answers it without the flow. The fake upstream of the tests of request resets flows that it has not opened, as the stand-in does; before, it answered on any flow. Figures: go test ./request -run HandedOnToRecovered: before, the flow broke (unknown_flow); after, it stays, and the probe confirms the holder. All tests of request pass with the stricter upstream.

--- a/request/admit.go
+++ b/request/admit.go
@@ -126,7 +126,10 @@
 	switch {
 	case a.unconfirmed:
 		a.engine.drop("unconfirmed_holder")
-		a.toUpstream(t.address, a.packet(t.flow, pb.Kind_KIND_KEEPALIVE))
+		probe := a.packet(t.flow, pb.Kind_KIND_KEEPALIVE)
+		// The upstream need not know the flow of a request that was handed on, and would reset it.
+		probe.Standalone = r.spilled
+		a.toUpstream(t.address, probe)
 	case r.spilled:
 		a.engine.drop("stale_spill")
 	case r.idempotent && p.GetGuardToken() == 0:
--- a/request/admit_test.go
+++ b/request/admit_test.go
@@ -13,6 +13,7 @@
 	"github.com/fulmarfield/fulmarfield/caller"
 	"github.com/fulmarfield/fulmarfield/config"
 	"github.com/fulmarfield/fulmarfield/membership"
+	"github.com/fulmarfield/fulmarfield/ownership"
 	"github.com/fulmarfield/fulmarfield/request"
 )
 
@@ -225,6 +226,30 @@
 	})
 }
 
+// Guards against a reset of a caller's flow by an upstream that never had it: a request handed on
+// from another admission to one that dies comes again to its successor, which probes the upstream.
+func TestRequestHandedOnToRecoveredHolderKeepsItsFlow(t *testing.T) {
+	simulate(t, 2, request.Tuning{}, func(w *world) {
+		w.transfer(2, "b")
+		w.upstreams[1].service = time.Second
+		f := w.flow(1)
+		w.askMany(f, 6, false, 20*time.Second)
+		time.Sleep(1100 * time.Millisecond)
+		w.upstreams[2].service = 10 * time.Second
+		c := w.ask(f, "read", true, 3*time.Second)
+		time.Sleep(20 * time.Millisecond)
+		w.engines["b"].kill()
+		w.activate("c", 2, nil, ownership.Recovered)
+		time.Sleep(2 * time.Second)
+		w.g.Expect(w.engines["c"].counters.Get("drop.unconfirmed_holder")).To(BeNumerically(">", 0), "the request reached the recovered holder")
+		isBroken, reason := f.Broken()
+		w.g.Expect(isBroken).To(BeFalse(), "broken: %v", reason)
+		w.g.Expect(w.engines["c"].counters.Get("drop.stale_spill")).To(BeNumerically(">", 0), "the upstream answered the probe")
+		<-c
+		w.g.Expect((<-w.ask(f, "write", false, 20*time.Second)).Status).To(Equal(ok))
+	})
+}
+
 // Guards against new work at a draining upstream after 3 s, and against refusing the work of
 // flows that are established there.
 func TestDrain(t *testing.T) {
--- a/request/upstream_test.go
+++ b/request/upstream_test.go
@@ -50,6 +50,11 @@
 	if u.silent || u.mute[k] {
 		return
 	}
+	// As the packet protocol asks: no answer on a flow that was not opened here.
+	if k := p.GetKind(); (k == pb.Kind_KIND_KEEPALIVE || k == pb.Kind_KIND_REQUEST) && !u.flows[wire.FlowKeyFromProto(p.GetFlow())] && !p.GetStandalone() {
+		u.reply(p, &pb.Packet{Kind: pb.Kind_KIND_RESET, Reason: pb.Reason_REASON_UNKNOWN_FLOW})
+		return
+	}
 	switch p.GetKind() {
 	case pb.Kind_KIND_OPEN:
 		u.flows[k] = true
