Recover the flows of an owner that died just before a change of the table

Cause: when a table changes, each owner makes exceptions of its flows in changed buckets. An owner that is dead, but not dropped yet, cannot. Its successor recovered the partition with the new table in force, took changed buckets for unknown, asked in vain and reset the flows (unknown_flow). Change: a service remembers the tables that were replaced in the last 6 s. A partition recovered from a dead owner takes the oldest of them for the flows that no replica tells of. Flows that the owner placed by a newer table are replicated, since their buckets had changed. In a minority the former owner may be alive behind a cut, and the table in force is taken as before. A daemon that has never held a partition of the service remembers no table.

--- a/steering/change.go
+++ b/steering/change.go
@@ -24,6 +24,7 @@
 		return
 	}
 	v := newServiceView(current.Proto, declared, old)
+	v.past = old.replaced(s.now().unixMS)
 	for number, u := range v.upstreams {
 		if old.upstreams[number] == nil {
 			s.notices.apply(owner.number, u)
--- a/steering/flowtable.go
+++ b/steering/flowtable.go
@@ -68,8 +68,8 @@
 	exceptions map[wire.FlowKey]exception
 	waits      map[wire.FlowKey]*wait
 	successor  membership.DaemonID
-	// base is the table of the activation, at baseAt: flows that no record came of were on
-	// its upstreams then, if their bucket was stable.
+	// base is the table of the former owner when it lost the partition, at baseAt: flows that no
+	// record came of were on its upstreams then, if their bucket was stable.
 	base   *table
 	baseAt instant
 }
--- a/steering/harness_test.go
+++ b/steering/harness_test.go
@@ -239,6 +239,16 @@
 	}
 }
 
+func undrain(number uint32) func(s *pb.Service) {
+	return func(s *pb.Service) {
+		for _, u := range s.Upstreams {
+			if u.Number == number {
+				u.State, u.DrainingSinceMs = pb.DeclaredState_DECLARED_STATE_ACTIVE, 0
+			}
+		}
+	}
+}
+
 func removeUpstream(number uint32) func(s *pb.Service) {
 	return func(s *pb.Service) {
 		s.Upstreams = slices.DeleteFunc(s.Upstreams, func(u *pb.Upstream) bool { return u.Number == number })
--- a/steering/keeper.go
+++ b/steering/keeper.go
@@ -37,6 +37,10 @@
 	}
 	v := p.view
 	p.base, p.baseAt = v.table, now
+	// In a minority the former owner is rather alive behind a cut and may place flows by the new table.
+	if provenance == ownership.Recovered && (s.Isolated == nil || !s.Isolated()) {
+		p.base, p.baseAt = v.tableOfDead(now)
+	}
 	released := s.copies.take(r)
 	if provenance == ownership.Transferred {
 		released = nil // The records are newer and complete.
--- a/steering/kill_test.go
+++ b/steering/kill_test.go
@@ -76,6 +76,43 @@
 	}
 }
 
+// Guards against a loss of flows whose owner dies just before a change of the table: it cannot make
+// exceptions of its flows in changed buckets any more, and its successor recovers them when the new
+// table is in force already.
+func TestOwnerDiesBeforeTableChange(t *testing.T) {
+	const flows = trialFlows / trialOwners
+	for name, changes := range map[string][]func(*pb.Service){
+		"drain":             {drain(4)},
+		"drain and undrain": {drain(4), undrain(4)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inCluster(t, trialUpstreams, func(g *WithT, c *cluster, a, b *node) {
+				// A daemon follows the tables of a service of which it holds partitions, as all do.
+				b.activate(nil, ownership.Fresh)
+				b.release()
+				for i := range flows {
+					a.give(i, kindOpen)
+				}
+				time.Sleep(2 * time.Minute) // The copies of the release have expired.
+				c.subs = c.subs[1:] // "a" is dead and takes no change.
+				for _, change := range changes {
+					c.declare(change)
+					time.Sleep(time.Second)
+				}
+				b.activate(nil, ownership.Recovered)
+				lost := 0
+				for i := range flows {
+					if up, _ := b.packet(i, kindData, 0); up != a.Explain(flowNumber(i)).Upstream {
+						lost++
+					}
+				}
+				t.Logf("lost %d of %d flows", lost, flows)
+				g.Expect(lost).To(BeZero())
+			})
+		})
+	}
+}
+
 // give hands the node a packet and does not wait for anything.
 func (n *node) give(i int, kind pb.Kind) {
 	k := flowNumber(i)
--- a/steering/service.go
+++ b/steering/service.go
@@ -32,14 +32,50 @@
 	// lastUpstream is the highest upstream number ever used at that generation.
 	lastUpstream uint32
 	table        *table
-	upstreams    map[uint32]*upstream
-	active       []*upstream
-	idleLimit    time.Duration
+	// past holds the tables in force within recoveryWindow before this view, oldest first.
+	past      []pastTable
+	upstreams map[uint32]*upstream
+	active    []*upstream
+	idleLimit time.Duration
 	// drainLimit is 0 when flows on a draining upstream are never reset.
 	drainLimit   time.Duration
 	boundPercent int64
 }
 
+// recoveryWindow is the time before the takeover of a dead owner's partition within which a change
+// may have missed that owner: it is dropped up to about 3 s after its death, and changes reach
+// daemons unevenly.
+const recoveryWindow = 6 * time.Second
+
+// pastTable is a table that another one replaced here.
+type pastTable struct {
+	table   *table
+	untilMS int64 // Unix time of the replacement
+}
+
+// replaced returns the past tables of the view that follows v.
+func (v *serviceView) replaced(nowMS int64) []pastTable {
+	var past []pastTable
+	for _, p := range append(v.past[:len(v.past):len(v.past)], pastTable{v.table, nowMS}) {
+		if nowMS-p.untilMS < recoveryWindow.Milliseconds() {
+			past = append(past, p)
+		}
+	}
+	return past
+}
+
+// tableOfDead returns the table that the dead owner of a partition may have had in force when it
+// placed the flows that no replica tells of, and until when it was the one here. Flows that it
+// placed by a newer table are replicated, since their buckets had changed shortly before.
+func (v *serviceView) tableOfDead(now instant) (*table, instant) {
+	for _, p := range v.past {
+		if now.unixMS-p.untilMS < recoveryWindow.Milliseconds() {
+			return p.table, instant{tick: now.tick, unixMS: p.untilMS}
+		}
+	}
+	return v.table, now
+}
+
 // upstream is the state of one upstream. It lives across generations.
 type upstream struct {
 	number uint32
