Let the matrix of failure runs keep the files of all runs

Cause: requests of unknown outcome at a planned change could not be looked into, since the files of runs without a broken connection are removed.

--- a/scripts/failure-matrix.sh
+++ b/scripts/failure-matrix.sh
@@ -13,22 +13,24 @@
 
 usage() {
   cat <<END
-usage: $0 [--seed N] [--jobs N] [--out DIR] [--list RUN[ RUN...]]
+usage: $0 [--seed N] [--jobs N] [--out DIR] [--list RUN[ RUN...]] [--keep]
   --seed  base seed; run number N of the list, counted from 0, has this seed plus N
   --jobs  runs at once, 1 to $MAX_JOBS (3)
   --out   directory of the table and of the files of runs that violated an invariant, broke a
           connection or failed; it must not exist
+  --keep  keep the files of all runs, a few MB each
   --list  runs as CASE, CASE,CASE or CASE*TIMES (default: each case, each case twice, all pairs)
 END
 }
 
-seed=1 jobs=3 out= list=
+seed=1 jobs=3 out= list= keep=
 while [ $# -gt 0 ]; do
   case $1 in
     --seed) seed=${2:-} ;;
     --jobs) jobs=${2:-} ;;
     --out) out=${2:-} ;;
     --list) list=${2:-} ;;
+    --keep) keep=1; shift; continue ;;
     --help) usage; exit 0 ;;
     *) usage >&2; exit 2 ;;
   esac
@@ -89,7 +91,7 @@
   printf '%s %d/%d %s\n' "$(date +%T)" $((number + 1)) ${#runs[@]} "$(tr '\t' '|' <"$out/row-$number")"
   IFS=$'\t' read -r verdict broken _ <<<"$row"
   if [ "$verdict" = held ] && [ "$status" -eq 0 ]; then
-    [ "$broken" != none ] || rm -rf "$out/run-$number" "$out/run-$number.log"
+    [ "$broken" != none ] || [ -n "$keep" ] || rm -rf "$out/run-$number" "$out/run-$number.log"
   else
     failed=$((failed + 1))
   fi
