--- a/membership/run.go
+++ b/membership/run.go
@@ -17,6 +17,7 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	last := time.Now()
+	m.noteTick(last)
 	probed := int64(0)
 	m.startJoin(last)
 	for {
@@ -25,6 +26,7 @@
 			m.resume(now, now.Sub(last))
 		}
 		last = now
+		m.noteTick(now)
 		m.dropSuspects(now)
 		m.checkProbes(now)
 		if interval := now.UnixNano() / int64(ProbeInterval); interval != probed {
@@ -42,6 +44,16 @@
 	}
 }
 
+func (m *Membership) noteTick(now time.Time) { m.tickedAt.Store(&now) }
+
+// Paused reports whether this daemon was paused for longer than DropTimeout and Run has not
+// dealt with that yet. Others may have taken its resources over, so that what it believes to
+// hold must not be used. It is false before Run.
+func (m *Membership) Paused() bool {
+	at := m.tickedAt.Load()
+	return at != nil && time.Since(*at) > DropTimeout
+}
+
 func (m *Membership) runNotifier(ctx context.Context) {
 	var previous *View
 	previous = m.notify(&View{})
