Check a verification tag on every packet that claims to be from an upstream

Cause: a packet at a service address was taken for an upstream's when it named an upstream. A caller that guessed a flow key, an upstream number and a request id could forge an answer, OPENED, RESET, CLOSE, KEEPALIVE or KEEPALIVE_ACK.

Change: daemons put a 64-bit MAC of flow key and upstream number on packets to upstreams (Packet field 18), under a key derived from the key of the settings. Upstreams echo it. The daemon that gets the packet from the fabric checks it and counts what does not match as drop.verification_tag. Callers never get it. The tag needs no record, so a hand-over or a death of the admission or of the flow's owner does not matter.

TestIngressRefuses has one more case; no case was changed. The golden files did not change.

--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -40,6 +40,7 @@
 	forwarder forwarder
 	steerer   steerer
 	admitter  admitter
+	verifier  *wire.Verifier
 	counters  *telemetry.Counters
 }
 
@@ -130,6 +131,11 @@
 	if !ok {
 		return nil
 	}
+	// Only what comes from the fabric can be forged; a daemon that forwards has checked it.
+	if role == pb.ForwardRole_FORWARD_ROLE_ANSWER && hops == 0 && !d.verifier.IsValid(h) {
+		d.counters.Drop("verification_tag")
+		return nil
+	}
 	to, active, ok := d.router.Route(resource)
 	if !active {
 		d.forward(to, ok, hops, role, raw)
@@ -191,6 +197,26 @@
 		d.counters.Drop(decodeReason(err))
 		return
 	}
+	d.transmit(to, raw)
+}
+
+// toUpstream sends a packet with the verification tag that the upstream must echo. A tag that
+// the caller set is replaced.
+func (d *dispatcher) toUpstream(to netip.AddrPort, p *pb.Packet) {
+	raw, err := wire.EncodePacket(p)
+	if err != nil {
+		d.counters.Drop(decodeReason(err))
+		return
+	}
+	raw = wire.AppendVerificationTag(raw, d.verifier.Tag(wire.FlowKeyFromProto(p.GetFlow()), p.GetUpstream()))
+	if len(raw) > wire.MaxPacketBytes {
+		d.counters.Drop("oversized")
+		return
+	}
+	d.transmit(to, raw)
+}
+
+func (d *dispatcher) transmit(to netip.AddrPort, raw []byte) {
 	if err := d.conn.Send(to, raw); err != nil {
 		d.counters.Drop("send_failed")
 	}
@@ -221,7 +247,7 @@
 	notify func(n *pb.UpstreamNotice)
 }
 
-func (o requestOutput) ToUpstream(addr netip.AddrPort, p *pb.Packet) { o.d.send(addr, p) }
+func (o requestOutput) ToUpstream(addr netip.AddrPort, p *pb.Packet) { o.d.toUpstream(addr, p) }
 
 func (o requestOutput) ToCaller(p *pb.Packet) { o.d.toCaller(p) }
 
--- a/daemon/dispatch_test.go
+++ b/daemon/dispatch_test.go
@@ -50,8 +50,11 @@
 	}})
 }
 
+var testKey = []byte("a key of at least 16 bytes")
+
 func newDispatcher(r *roles) *dispatcher {
-	return &dispatcher{config: r, router: r, forwarder: r, steerer: steererFake{r}, admitter: admitterFake{r}, counters: telemetry.NewCounters()}
+	return &dispatcher{config: r, router: r, forwarder: r, steerer: steererFake{r}, admitter: admitterFake{r},
+		verifier: wire.NewVerifier(testKey), counters: telemetry.NewCounters()}
 }
 
 func encoded(t *testing.T, p *pb.Packet) []byte {
@@ -79,6 +82,7 @@
 		"an answer sent by a caller":    {encoded(t, &pb.Packet{Kind: pb.Kind_KIND_ANSWER}), "drop.unexpected_kind"},
 		"a token sent by a caller":      {encoded(t, &pb.Packet{Kind: pb.Kind_KIND_TOKEN}), "drop.unexpected_kind"},
 		"upstream of another service":   {encoded(t, &pb.Packet{Kind: pb.Kind_KIND_ANSWER, Upstream: 2}), "drop.wrong_service"},
+		"an answer without a tag":       {encoded(t, &pb.Packet{Kind: pb.Kind_KIND_ANSWER, Upstream: 1}), "drop.verification_tag"},
 		"upstream that is not declared": {encoded(t, &pb.Packet{Kind: pb.Kind_KIND_ANSWER, Upstream: 9}), "drop.unknown_upstream"},
 	}
 	for name, c := range cases {
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -114,7 +114,8 @@
 		Self: o.Self.ID, Incarnation: n.membership.SelfIncarnation, Key: o.Key, Conn: o.PeerConn,
 		Viewer: late, Counters: o.Counters, Logger: o.Logger,
 	})
-	n.dispatcher = &dispatcher{conn: o.DataConn, config: n.relay, forwarder: n.messenger, counters: o.Counters}
+	n.dispatcher = &dispatcher{conn: o.DataConn, config: n.relay, forwarder: n.messenger,
+		verifier: wire.NewVerifier(o.Key), counters: o.Counters}
 	n.buildRoles(o)
 	n.messenger.Handle(n.handlePeer)
 	n.messenger.HandleForward(n.dispatcher.forwarded)
--- /dev/null
+++ b/daemon/verification_test.go
@@ -0,0 +1,88 @@
+package daemon
+
+import (
+	"net/netip"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/wire"
+)
+
+// sent records the datagrams that a daemon sends.
+type sent struct{ data [][]byte }
+
+func (s *sent) ReadBatch([]wire.Datagram) (int, error) { return 0, wire.ErrClosed }
+func (s *sent) Close() error                           { return nil }
+func (s *sent) LocalAddr() netip.AddrPort              { return netip.AddrPort{} }
+func (s *sent) Send(_ netip.AddrPort, data []byte) error {
+	s.data = append(s.data, append([]byte(nil), data...))
+	return nil
+}
+
+var upstreamKinds = []pb.Kind{pb.Kind_KIND_OPENED, pb.Kind_KIND_ANSWER, pb.Kind_KIND_CLOSE, pb.Kind_KIND_RESET,
+	pb.Kind_KIND_KEEPALIVE, pb.Kind_KIND_KEEPALIVE_ACK, pb.Kind_KIND_DATA}
+
+// Guards against a caller that claims to be an upstream and forges what upstreams send, with a
+// guessed tag or with that of another flow or upstream, whether or not the admission is held at
+// the daemon that receives the packet.
+func TestForgedPacketsOfUpstreams(t *testing.T) {
+	flow := wire.FlowKeyFromProto(decoded(t, encoded(t, &pb.Packet{Kind: pb.Kind_KIND_OPEN})).GetFlow())
+	other := flow
+	other.CallerPort++
+	v := wire.NewVerifier(testKey)
+	for _, kind := range upstreamKinds {
+		for name, c := range map[string]struct {
+			tag   uint64
+			valid bool
+		}{
+			"none":           {},
+			"guessed":        {tag: 1},
+			"other flow":     {tag: v.Tag(other, 1)},
+			"other upstream": {tag: v.Tag(flow, 2)},
+			"echoed":         {tag: v.Tag(flow, 1), valid: true},
+		} {
+			for _, isHeldHere := range []bool{true, false} {
+				g := NewWithT(t)
+				r := &roles{active: isHeldHere}
+				d := newDispatcher(r)
+				d.ingress(encoded(t, &pb.Packet{Kind: kind, Upstream: 1, VerificationTag: c.tag}))
+				passed := len(r.upstreams) + len(r.hops)
+				g.Expect(passed == 1).To(Equal(c.valid), "%v %s", kind, name)
+				g.Expect(d.counters.Get("drop.verification_tag") == 0).To(Equal(c.valid), "%v %s", kind, name)
+			}
+		}
+	}
+}
+
+// Guards against a packet to an upstream without the tag that its answer must have, against a
+// tag of the caller's choice, and against a caller that learns the tag.
+func TestTagGoesToUpstreamsOnly(t *testing.T) {
+	g := NewWithT(t)
+	conn := &sent{}
+	d := newDispatcher(&roles{active: true})
+	d.conn = conn
+	p := decoded(t, encoded(t, &pb.Packet{Kind: pb.Kind_KIND_OPEN, Upstream: 1, VerificationTag: 5}))
+	requestOutput{d: d}.ToUpstream(netip.MustParseAddrPort("127.1.1.51:9000"), p)
+	flow := wire.FlowKeyFromProto(p.GetFlow())
+	tag := d.verifier.Tag(flow, 1)
+	g.Expect(decoded(t, conn.data[0]).GetVerificationTag()).To(Equal(tag))
+	g.Expect(p.GetVerificationTag()).To(Equal(uint64(5)), "the packet still belongs to the admission")
+	for _, kind := range upstreamKinds {
+		p := &pb.Packet{Flow: p.GetFlow(), Kind: kind, Upstream: 1, VerificationTag: tag}
+		requestOutput{d: d}.ToCaller(p)
+		steeringOutput{d}.ToCaller(p)
+	}
+	g.Expect(conn.data).To(HaveLen(1 + 2*len(upstreamKinds)))
+	for _, raw := range conn.data[1:] {
+		g.Expect(decoded(t, raw).GetVerificationTag()).To(BeZero())
+	}
+}
+
+func decoded(t *testing.T, raw []byte) *pb.Packet {
+	t.Helper()
+	p, err := wire.DecodePacket(raw)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return p
+}
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -221,6 +221,7 @@
 	return &pb.Packet{
 		Flow: p.GetFlow(), Kind: kind, RequestId: p.GetRequestId(), Attempt: p.GetAttempt(),
 		GuardToken: p.GetGuardToken(), Service: p.GetService(), Upstream: p.GetUpstream(),
+		VerificationTag: p.GetVerificationTag(),
 	}
 }
 
--- a/test/testcluster/network.go
+++ b/test/testcluster/network.go
@@ -134,3 +134,13 @@
 	}
 	return names
 }
+
+// Inject sends a datagram from an address that nobody listens at, as a caller does that claims
+// to be somebody else.
+func (c *Cluster) Inject(from, to netip.AddrPort, data []byte) {
+	conn := c.listen(from)
+	if err := conn.Send(to, data); err != nil {
+		c.t.Error(err)
+	}
+	_ = conn.Close()
+}
--- a/wire/flowkey_test.go
+++ b/wire/flowkey_test.go
@@ -60,7 +60,8 @@
 		if proto.Unmarshal(raw, p) != nil {
 			return // ParseHeader does not check the fields that it skips.
 		}
-		if wire.FlowKeyFromProto(p.GetFlow()) != h.Flow || p.GetKind() != h.Kind || p.GetUpstream() != h.Upstream {
+		if wire.FlowKeyFromProto(p.GetFlow()) != h.Flow || p.GetKind() != h.Kind || p.GetUpstream() != h.Upstream ||
+			p.GetVerificationTag() != h.VerificationTag {
 			t.Fatalf("header %+v differs from packet %v", h, p)
 		}
 	})
--- a/wire/packet.go
+++ b/wire/packet.go
@@ -15,7 +15,8 @@
 const MaxPacketBytes = 1400
 
 // MaxCallerPacketBytes is the largest packet of a caller. Daemons add numbers of service,
-// upstream and transmission, a token and a deadline, which take less than 64 bytes.
+// upstream and transmission, a token, a deadline and a verification tag, which take less than
+// 64 bytes.
 const MaxCallerPacketBytes = MaxPacketBytes - 64
 
 // Errors of the packet decoder. Each is counted by the daemon under its own name.
@@ -34,6 +35,8 @@
 	fieldUpstream = 9
 	fieldStatus   = 10
 
+	fieldVerificationTag = 18
+
 	fieldCallerIP    = 1
 	fieldCallerPort  = 2
 	fieldServiceIP   = 3
@@ -48,6 +51,8 @@
 	Kind     pb.Kind
 	Service  uint32
 	Upstream uint32
+	// VerificationTag is what an upstream echoes, 0 if it is missing.
+	VerificationTag uint64
 }
 
 // ParseHeader decodes the steering header of a serialized Packet without allocating. Later
@@ -102,6 +107,14 @@
 		}
 		return n, nil
 	}
+	if num == fieldVerificationTag && typ == protowire.Fixed64Type {
+		v, n := protowire.ConsumeFixed64(b)
+		if n < 0 {
+			return 0, ErrMalformed
+		}
+		h.VerificationTag = v
+		return n, nil
+	}
 	n := protowire.ConsumeFieldValue(num, typ, b)
 	if n < 0 {
 		return 0, ErrMalformed
