--- /dev/null
+++ b/config/relay/bench_test.go
@@ -0,0 +1,99 @@
+package relay_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/config"
+	"github.com/fulmarfield/fulmarfield/config/relay"
+	"github.com/fulmarfield/fulmarfield/telemetry"
+)
+
+// upstreamsPerService is that of the size to design for: 65,000 endpoints on 5,600 addresses.
+const upstreamsPerService = 12
+
+var benchSizes = []int{2, 100, 1000}
+
+func benchConfiguration(services int) *pb.Configuration {
+	c := &pb.Configuration{Generation: 2, ChangeId: "change-2", Author: "operator"}
+	for i := range services {
+		s := &pb.Service{Number: uint32(i + 1), Name: fmt.Sprintf("service-%d", i+1), Address: fmt.Sprintf("127.2.%d.%d:8001", i/250+1, i%250+1)}
+		for k := range upstreamsPerService {
+			n := i*upstreamsPerService + k + 1
+			s.Upstreams = append(s.Upstreams, &pb.Upstream{Number: uint32(n), Name: fmt.Sprintf("service-%d-%d", i+1, k+1), Zone: "zone-1",
+				Address: fmt.Sprintf("127.1.%d.%d:9000", n/250+1, n%250+1), Slots: 2, Weight: 1, State: pb.DeclaredState_DECLARED_STATE_ACTIVE})
+		}
+		c.Services = append(c.Services, s)
+	}
+	c.LastUpstreamNumber = uint32(services * upstreamsPerService)
+	return c
+}
+
+// newBenchRelay returns a relay at generation 0 that does not run.
+func newBenchRelay(counters *telemetry.Counters) *relay.Relay {
+	return relay.New(relay.Options{Self: "a", Zone: "zone-1", Counters: counters, Logger: zerolog.Nop()})
+}
+
+// Reports the processor time of a daemon that takes a pushed configuration and puts it in
+// force, without subscribers, and the bytes of that push.
+func BenchmarkAdopt(b *testing.B) {
+	for _, services := range benchSizes {
+		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) {
+			raw, err := proto.Marshal(&pb.PushConfigurationRequest{Configuration: benchConfiguration(services)})
+			if err != nil {
+				b.Fatal(err)
+			}
+			counters := telemetry.NewCounters()
+			b.ReportAllocs()
+			for b.Loop() {
+				request := &pb.PushConfigurationRequest{}
+				if err := proto.Unmarshal(raw, request); err != nil {
+					b.Fatal(err)
+				}
+				if newBenchRelay(counters).HandlePush(request).GetGeneration() != 2 {
+					b.Fatal("not in force")
+				}
+			}
+			b.ReportMetric(float64(len(raw)), "B/change")
+		})
+	}
+}
+
+// Reports the processor time of a relay that answers one pull.
+func BenchmarkRelay(b *testing.B) {
+	for _, services := range benchSizes {
+		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) {
+			r := newBenchRelay(telemetry.NewCounters())
+			r.HandlePush(&pb.PushConfigurationRequest{Configuration: benchConfiguration(services)})
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := proto.Marshal(r.HandleGet(&pb.GetConfigurationRequest{HaveGeneration: 1})); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// Reports the memory of a service with its upstreams in a snapshot.
+func BenchmarkSnapshotMemory(b *testing.B) {
+	for _, services := range benchSizes {
+		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) {
+			for b.Loop() {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				kept := config.NewSnapshot(benchConfiguration(services))
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(kept)
+				b.ReportMetric((float64(after.HeapAlloc)-float64(before.HeapAlloc))/float64(services), "B/service")
+			}
+		})
+	}
+}
--- a/experiment/path_test.go
+++ b/experiment/path_test.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"context"
 	"net/netip"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/fulmarfield/fulmarfield/config"
 	"github.com/fulmarfield/fulmarfield/membership"
 	"github.com/fulmarfield/fulmarfield/ownership"
+	"github.com/fulmarfield/fulmarfield/peer"
 	"github.com/fulmarfield/fulmarfield/steering"
 	"github.com/fulmarfield/fulmarfield/telemetry"
 	"github.com/fulmarfield/fulmarfield/wire"
@@ -87,31 +89,82 @@
 	return time.Since(start)
 }
 
-// Reports packets a second through receive, steering and forward of one daemon as a ratio to a
-// bare UDP relay in the same run.
+// pathService is the service of the path benchmarks.
+func pathService() *pb.Service {
+	s := &pb.Service{Number: serviceNumber, Address: "127.2.1.1:8001"}
+	for i := range uint32(15) {
+		s.Upstreams = append(s.Upstreams, &pb.Upstream{Number: i + 1, Weight: 1, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 3, 0, byte(i)}), 9000).String()})
+	}
+	return s
+}
+
+// newPathSteerer returns a Steerer that holds all partitions and sends from conn to a sink.
+func newPathSteerer(conn wire.Conn, to netip.AddrPort) *steering.Steerer {
+	p := &pathDaemon{conn: conn, to: to, snapshot: config.NewSnapshot(&pb.Configuration{Generation: 1, Services: []*pb.Service{pathService()}})}
+	steerer := steering.New(steering.Options{Config: p, Router: p, Sender: p, Output: p, Counters: telemetry.NewCounters(), Logger: zerolog.Nop()})
+	for _, r := range partitions() {
+		steerer.Activate(r, nil, ownership.Fresh)
+	}
+	return steerer
+}
+
+// steerRaw steers a serialized packet.
+func steerRaw(s *steering.Steerer, data []byte) {
+	if h, err := wire.ParseHeader(data); err == nil {
+		s.HandleCaller(h, data)
+	}
+}
+
+// newPathMessenger returns the messenger of one of the daemons "a" and "b".
+func newPathMessenger(b *testing.B, id membership.DaemonID, conn wire.Conn, peers map[membership.DaemonID]netip.AddrPort) *peer.Messenger {
+	view := &membership.View{}
+	for _, other := range []membership.DaemonID{"a", "b"} {
+		view.Members = append(view.Members, membership.Member{ID: other, PeerAddress: peers[other], Incarnation: 1, State: pb.MemberState_MEMBER_STATE_ALIVE})
+	}
+	m := peer.NewMessenger(peer.MessengerOptions{Self: id, Incarnation: func() uint64 { return 1 }, Key: []byte("key"), Conn: conn,
+		Viewer: membership.ViewerFunc(func() *membership.View { return view }), Counters: telemetry.NewCounters(), Logger: zerolog.Nop()})
+	ctx, cancel := context.WithCancel(context.Background())
+	b.Cleanup(cancel)
+	go func() { _ = m.Run(ctx) }()
+	return m
+}
+
+// Reports packets a second through receive, steering and forward of one daemon, and through an
+// ingress that forwards to the flow owner, as ratios to one bare UDP relay in the same run. The
+// second passes two sockets, so two bare relays in a row are measured as well.
 func BenchmarkDaemonPath(b *testing.B) {
 	const packets = 20_000
+	var relayed, twice, steered, forwarded time.Duration
 	for b.Loop() {
 		bareSink, bare := listen(b), listen(b)
 		go relay(bare, func(data []byte) { _ = bare.Send(bareSink.LocalAddr(), data) })
 		sink, daemon := listen(b), listen(b)
-		s := &pb.Service{Number: serviceNumber, Address: "127.2.1.1:8001"}
-		for i := range uint32(15) {
-			s.Upstreams = append(s.Upstreams, &pb.Upstream{Number: i + 1, Weight: 1, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 3, 0, byte(i)}), 9000).String()})
-		}
-		p := &pathDaemon{conn: daemon, to: sink.LocalAddr(), snapshot: config.NewSnapshot(&pb.Configuration{Generation: 1, Services: []*pb.Service{s}})}
-		steerer := steering.New(steering.Options{Config: p, Router: p, Sender: p, Output: p, Counters: telemetry.NewCounters(), Logger: zerolog.Nop()})
-		for _, r := range partitions() {
-			steerer.Activate(r, nil, ownership.Fresh)
-		}
-		go relay(daemon, func(data []byte) {
-			if h, err := wire.ParseHeader(data); err == nil {
-				steerer.HandleCaller(h, data)
+		steerer := newPathSteerer(daemon, sink.LocalAddr())
+		go relay(daemon, func(data []byte) { steerRaw(steerer, data) })
+
+		twoSink, first, second := listen(b), listen(b), listen(b)
+		go relay(first, func(data []byte) { _ = first.Send(second.LocalAddr(), data) })
+		go relay(second, func(data []byte) { _ = second.Send(twoSink.LocalAddr(), data) })
+
+		ownerSink, ingress, out, peerA, peerB := listen(b), listen(b), listen(b), listen(b), listen(b)
+		owner := newPathSteerer(out, ownerSink.LocalAddr())
+		peers := map[membership.DaemonID]netip.AddrPort{"a": peerA.LocalAddr(), "b": peerB.LocalAddr()}
+		a, o := newPathMessenger(b, "a", peerA, peers), newPathMessenger(b, "b", peerB, peers)
+		o.HandleForward(func(_ membership.DaemonID, _ uint32, _ pb.ForwardRole, data []byte) { steerRaw(owner, data) })
+		go relay(ingress, func(data []byte) {
+			if _, err := wire.ParseHeader(data); err == nil {
+				_ = a.SendForward("b", 1, pb.ForwardRole_FORWARD_ROLE_FLOW_OWNER, data)
 			}
 		})
-		relayed := pass(b, bare.LocalAddr(), bareSink, packets)
-		steered := pass(b, daemon.LocalAddr(), sink, packets)
-		b.ReportMetric(float64(relayed)/float64(steered), "of-bare-relay")
-		b.ReportMetric(packets/steered.Seconds(), "packets/s")
+
+		relayed += pass(b, bare.LocalAddr(), bareSink, packets)
+		steered += pass(b, daemon.LocalAddr(), sink, packets)
+		forwarded += pass(b, ingress.LocalAddr(), ownerSink, packets)
+		twice += pass(b, first.LocalAddr(), twoSink, packets)
 	}
+	b.ReportMetric(relayed.Seconds()/steered.Seconds(), "of-bare-relay")
+	b.ReportMetric(relayed.Seconds()/forwarded.Seconds(), "forwarded-of-bare-relay")
+	b.ReportMetric(twice.Seconds()/forwarded.Seconds(), "forwarded-of-two-relays")
+	b.ReportMetric(steered.Seconds()/forwarded.Seconds(), "forwarded-of-local")
+	b.ReportMetric(float64(packets)*float64(b.N)/steered.Seconds(), "packets/s")
 }
--- a/request/bench_test.go
+++ b/request/bench_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
+	"runtime"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -13,6 +15,7 @@
 
 	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
 	"github.com/fulmarfield/fulmarfield/config"
+	"github.com/fulmarfield/fulmarfield/load"
 	"github.com/fulmarfield/fulmarfield/ownership"
 	"github.com/fulmarfield/fulmarfield/request"
 	"github.com/fulmarfield/fulmarfield/wire"
@@ -143,3 +146,108 @@
 	e.HandleCaller(p)
 	return e, p
 }
+
+// pair joins two admissions of one Engine by the serialized form of a packet handed on.
+type pair struct {
+	sink
+	engine *request.Engine
+	table  *load.Table
+	spills int
+}
+
+func (p *pair) Notify(n *pb.UpstreamNotice) { p.table.Observe(n) }
+
+func (p *pair) ToAdmission(_, _ uint32, packet *pb.Packet) {
+	raw, err := wire.EncodePacket(packet)
+	if err != nil {
+		return
+	}
+	moved := &pb.Packet{}
+	if proto.Unmarshal(raw, moved) == nil {
+		p.spills++
+		p.engine.HandleCaller(moved)
+	}
+}
+
+// BenchmarkRetryElsewhere measures an idempotent request that finds the queue of its upstream
+// full, is handed on to another upstream and answered there.
+func BenchmarkRetryElsewhere(b *testing.B) {
+	service := &pb.Service{Number: 1, Address: serviceAddr.String(), Limits: &pb.Limits{QueueLength: 4}, Upstreams: []*pb.Upstream{
+		{Number: 1, Address: "127.0.3.1:900", Slots: 2}, {Number: 2, Address: "127.0.3.2:900", Slots: 2}}}
+	out := &pair{table: load.NewTable()}
+	e := request.New(request.Options{Self: "a", Output: out, Load: out.table, Tuning: request.Tuning{NoRetryBudget: true},
+		Config: fixed{config.NewSnapshot(&pb.Configuration{Services: []*pb.Service{service}})}})
+	out.engine = e
+	e.Activate(ownership.Admission(1, 1), nil, ownership.Fresh)
+	e.Activate(ownership.Admission(1, 2), nil, ownership.Fresh)
+	key := newKey("127.0.9.1:4000").Proto()
+	first, _ := out.table.Known(1)
+	ask := func(id uint64, idempotent bool) {
+		e.HandleCaller(&pb.Packet{Flow: key, Kind: pb.Kind_KIND_REQUEST, RequestId: id, Attempt: 1, Service: 1, Upstream: 1,
+			DeadlineMs: 600_000, GuardToken: first.Token, Idempotent: idempotent, Payload: make([]byte, 200)})
+	}
+	id := uint64(0)
+	for id < 6 {
+		id++
+		ask(id, false)
+	}
+	answer := make([]byte, 200)
+	n := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		id++
+		n++
+		ask(id, true)
+		e.HandleUpstream(&pb.Packet{Flow: key, Kind: pb.Kind_KIND_ANSWER, RequestId: id, Service: 1, Upstream: 2,
+			Status: pb.Status_STATUS_OK, Parts: 1, Payload: answer})
+	}
+	if out.spills != n || e.Status(2).GetInProgress() != 0 {
+		b.Fatalf("%d of %d requests were handed on, %d not answered", out.spills, n, e.Status(2).GetInProgress())
+	}
+}
+
+// BenchmarkRecordMemory reports the memory of a finished request, whose record is kept for
+// 120 s, and of an admission without requests.
+func BenchmarkRecordMemory(b *testing.B) {
+	heap := func(build func() any) float64 {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		kept := build()
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		runtime.KeepAlive(kept)
+		return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+	}
+	requests := func(n int) any {
+		e, out := newSink()
+		for i := range n {
+			p := &pb.Packet{Flow: newKey("127.0.9.1:4000").Proto(), Kind: pb.Kind_KIND_REQUEST, RequestId: uint64(i/1000 + 1), Attempt: 1,
+				Service: 1, Upstream: 1, DeadlineMs: 1000, GuardToken: out.token.Load(), Payload: make([]byte, 200)}
+			p.Flow.CallerIp += uint32(i % 1000)
+			e.HandleCaller(p)
+			e.HandleUpstream(&pb.Packet{Flow: p.Flow, Kind: pb.Kind_KIND_ANSWER, RequestId: p.RequestId, Service: 1, Upstream: 1,
+				Status: pb.Status_STATUS_OK, Parts: 1, Payload: make([]byte, 200)})
+		}
+		return e
+	}
+	for _, n := range []int{1000, 10_000, 60_000} {
+		b.Run(fmt.Sprintf("requests=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				b.ReportMetric(heap(func() any { return requests(n) })/float64(n), "B/request")
+			}
+		})
+	}
+	b.Run("upstream", func(b *testing.B) {
+		const upstreams = 1000
+		for b.Loop() {
+			b.ReportMetric(heap(func() any {
+				e, _ := newSink()
+				for i := range uint32(upstreams) {
+					e.Activate(ownership.Admission(1, i+2), nil, ownership.Fresh)
+				}
+				return e
+			})/upstreams, "B/upstream")
+		}
+	})
+}
--- a/steering/bench_test.go
+++ b/steering/bench_test.go
@@ -140,3 +140,63 @@
 		})
 	}
 }
+
+// Reports the processor time and bytes of a flow partition that moves with its records:
+// release, encoding, decoding and activation.
+func BenchmarkHandOver(b *testing.B) {
+	for _, flows := range []int{0, 100, 1500} {
+		b.Run(fmt.Sprintf("flows=%d", flows), func(b *testing.B) {
+			s, _ := benchSteerer(flows*ownership.PartitionCount, 15)
+			r := ownership.Resource{Kind: pb.ResourceKind_RESOURCE_KIND_FLOW_PARTITION, Service: testService, Index: 7}
+			bytes, moved := 0, 0
+			b.ReportAllocs()
+			for b.Loop() {
+				raw, err := proto.Marshal(s.Release(r))
+				if err != nil {
+					b.Fatal(err)
+				}
+				records := &pb.ResourceRecords{}
+				if err := proto.Unmarshal(raw, records); err != nil {
+					b.Fatal(err)
+				}
+				s.Activate(r, records, ownership.Transferred)
+				bytes, moved = len(raw), len(records.GetFlows())
+			}
+			b.ReportMetric(float64(bytes), "B/partition")
+			b.ReportMetric(float64(moved), "flows")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(max(moved, 1)), "ns/flow")
+		})
+	}
+}
+
+// Reports the memory of a service that a daemon steers, without flows: its tables and the
+// partitions that it holds.
+func BenchmarkServiceMemory(b *testing.B) {
+	const services, upstreams = 100, 12
+	declared := &pb.Configuration{Generation: 1}
+	for i := range uint32(services) {
+		s := &pb.Service{Number: i + 1, Address: fmt.Sprintf("127.2.1.%d:8001", i+1), TableGeneration: 1}
+		for k := range uint32(upstreams) {
+			s.Upstreams = append(s.Upstreams, testUpstream(i*upstreams+k+1))
+		}
+		declared.Services = append(declared.Services, s)
+	}
+	for _, held := range []int{1, ownership.PartitionCount / 6, ownership.PartitionCount} {
+		b.Run(fmt.Sprintf("held=%d", held), func(b *testing.B) {
+			for b.Loop() {
+				b.ReportMetric(heapAfter(func() any {
+					c := &cluster{}
+					c.current.Store(config.NewSnapshot(declared))
+					n := &node{cluster: c, id: "a"}
+					s := New(Options{Config: c, Router: n, Sender: n, Output: discard{}, Counters: telemetry.NewCounters(), Logger: zerolog.Nop()})
+					for number := range uint32(services) {
+						for i := range held {
+							s.Activate(ownership.Resource{Kind: pb.ResourceKind_RESOURCE_KIND_FLOW_PARTITION, Service: number + 1, Index: uint32(i)}, nil, ownership.Fresh)
+						}
+					}
+					return s
+				})/services, "B/service")
+			}
+		})
+	}
+}
