Look services up by one number

Cause: each packet looks its service up once or more for each role, in a map by netip.AddrPort. In a profile of steering a known flow the map look-ups, with that of the flow itself, are half of the time.

Addresses that are not IPv4 are left out, as flows never have them.

--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"encoding/binary"
 	"net/netip"
 
 	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
@@ -9,9 +10,10 @@
 
 // Snapshot is the immutable configuration of one generation with its indexes.
 type Snapshot struct {
-	Proto     *pb.Configuration
-	services  map[uint32]*pb.Service
-	addresses map[netip.AddrPort]*pb.Service
+	Proto    *pb.Configuration
+	services map[uint32]*pb.Service
+	// addresses has the IPv4 address and port in one number, which is looked up for each packet.
+	addresses map[uint64]*pb.Service
 	upstreams map[uint32]upstreamEntry
 }
 
@@ -27,13 +29,14 @@
 	s := &Snapshot{
 		Proto:     c,
 		services:  map[uint32]*pb.Service{},
-		addresses: map[netip.AddrPort]*pb.Service{},
+		addresses: map[uint64]*pb.Service{},
 		upstreams: map[uint32]upstreamEntry{},
 	}
 	for _, service := range c.GetServices() {
 		s.services[service.GetNumber()] = service
-		if addr, err := netip.ParseAddrPort(service.GetAddress()); err == nil {
-			s.addresses[addr] = service
+		if addr, err := netip.ParseAddrPort(service.GetAddress()); err == nil && addr.Addr().Is4() {
+			ip := addr.Addr().As4()
+			s.addresses[addressNumber(binary.BigEndian.Uint32(ip[:]), addr.Port())] = service
 		}
 		for _, u := range service.GetUpstreams() {
 			addr, err := netip.ParseAddrPort(u.GetAddress())
@@ -46,6 +49,8 @@
 	return s
 }
 
+func addressNumber(ip uint32, port uint16) uint64 { return uint64(ip)<<16 | uint64(port) }
+
 // Generation returns the generation number; 0 means that nothing was ever declared.
 func (s *Snapshot) Generation() uint64 { return s.Proto.GetGeneration() }
 
@@ -60,7 +65,7 @@
 
 // ServiceOf returns the service that a flow key's service address belongs to.
 func (s *Snapshot) ServiceOf(k wire.FlowKey) (*pb.Service, bool) {
-	service, ok := s.addresses[k.Service()]
+	service, ok := s.addresses[addressNumber(k.ServiceIP, k.ServicePort)]
 	return service, ok
 }
 
