Run experiments with several seeds and make the plots readable

In the plots, looked at as pictures, the legend hid lines, labels of the axes were rounded to 1, 1 and 1.1, one colour stood for two lines, and points of two services hid each other.

The report then has the range of each figure, and each seed has a directory of its own.

--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -4,6 +4,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"testing"
@@ -19,9 +20,9 @@
 )
 
 type options struct {
-	Seed uint64 `long:"seed" env:"FULMAR_EXPERIMENT_SEED" description:"seed of all random choices; 0 takes that of the file"`
-	Out  string `long:"out" env:"FULMAR_EXPERIMENT_OUT" description:"directory for reports; empty writes none"`
-	Dir  string `long:"dir" env:"FULMAR_EXPERIMENT_DIR" default:"experiments" description:"directory of declared experiments, for list and all"`
+	Seeds []uint64 `long:"seed" env:"FULMAR_EXPERIMENT_SEED" env-delim:"," description:"seed of all random choices; 0 takes that of the file; given several times, the report has the ranges"`
+	Out   string   `long:"out" env:"FULMAR_EXPERIMENT_OUT" description:"directory for reports; empty writes none"`
+	Dir   string   `long:"dir" env:"FULMAR_EXPERIMENT_DIR" default:"experiments" description:"directory of declared experiments, for list and all"`
 }
 
 // errArguments reports arguments other than those of the usage line.
@@ -30,7 +31,7 @@
 func main() {
 	var o options
 	parser := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash)
-	parser.Usage = usage + " [--seed N] [--out DIR]"
+	parser.Usage = usage + " [--seed N]... [--out DIR]"
 	arguments, err := parser.Parse()
 	var help *flags.Error
 	if errors.As(err, &help) && help.Type == flags.ErrHelp {
@@ -82,20 +83,41 @@
 
 func (o *options) run(t *testing.T, declared []*experiment.Declaration) error {
 	for _, d := range declared {
-		seed := d.Seed
-		if o.Seed != 0 {
-			seed = o.Seed
-		}
-		r := experiment.Run(t, d, seed, os.Stderr)
-		if err := r.Table(os.Stdout); err != nil {
+		if err := o.runOne(t, d); err != nil {
 			return err
 		}
-		if o.Out == "" {
-			continue
+	}
+	return nil
+}
+
+// result is a report of one seed or of several.
+type result interface {
+	Table(w io.Writer) error
+	Write(dir string) error
+}
+
+func (o *options) runOne(t *testing.T, d *experiment.Declaration) error {
+	seeds := o.Seeds
+	if len(seeds) == 0 {
+		seeds = []uint64{0}
+	}
+	reports := make([]*experiment.Report, len(seeds))
+	for i, seed := range seeds {
+		if seed == 0 {
+			seed = d.Seed
 		}
-		if err := r.Write(o.Out); err != nil {
-			return err
+		reports[i] = experiment.Run(t, d, seed, os.Stderr)
+	}
+	var out result = reports[0]
+	if len(reports) > 1 {
+		joined, err := experiment.OverSeeds(reports)
+		if err != nil {
+			return fmt.Errorf("%s: %w", d.Name, err)
 		}
+		out = joined
 	}
-	return nil
+	if err := out.Table(os.Stdout); err != nil || o.Out == "" {
+		return err
+	}
+	return out.Write(o.Out)
 }
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"os"
 	"path/filepath"
@@ -145,3 +146,37 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(string(text)).To(ContainSubstring("seed 3"))
 }
+
+// Guards against a report over several seeds that hides a differing figure or mixes up cases.
+func TestOverSeeds(t *testing.T) {
+	g := NewWithT(t)
+	d := parse(g, `name: two
+kind: flows
+duration: 70s
+measure: 55s
+settings: {daemons: 2, upstreams: 3, slots: 2, flows: 300, mean_life: 60s, tail: 1.5, packet_every: 20s}
+policies:
+  - policy: modulo
+scenarios:
+  - name: add
+    faults: [{at: 60s, kind: add}]
+`)
+	one, two := Run(t, d, 1, io.Discard), Run(t, d, 2, io.Discard)
+	s, err := OverSeeds([]*Report{one, two})
+	g.Expect(err).NotTo(HaveOccurred())
+	var out bytes.Buffer
+	g.Expect(s.Table(&out)).To(Succeed())
+	g.Expect(out.String()).To(ContainSubstring("seeds 1, 2"))
+	low, high := min(one.Measures[0].Broken(), two.Measures[0].Broken()), max(one.Measures[0].Broken(), two.Measures[0].Broken())
+	g.Expect(low).To(BeNumerically("<", high))
+	g.Expect(s.rows[1][2]).To(Equal(fmt.Sprintf("%d to %d", low, high)))
+	g.Expect(s.rows[1][0]).To(Equal("add"))
+	g.Expect(rangeOf([]string{"-", "1"})).To(Equal("- | 1"))
+	g.Expect(rangeOf([]string{"3", "-2", "10"})).To(Equal("-2 to 10"))
+	dir := t.TempDir()
+	g.Expect(s.Write(dir)).To(Succeed())
+	g.Expect(filepath.Join(dir, "seed-2", "two.csv")).To(BeARegularFile())
+	g.Expect(filepath.Join(dir, "two.csv")).To(BeARegularFile())
+	_, err = OverSeeds(nil)
+	g.Expect(err).To(MatchError(ErrDifferentReports))
+}
--- a/experiment/plot.go
+++ b/experiment/plot.go
@@ -2,18 +2,26 @@
 
 import (
 	"fmt"
+	"image/color"
 	"os"
+	"path/filepath"
 	"slices"
+	"strconv"
+	"strings"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
 )
 
 const (
-	plotWidth  = 16 * vg.Centimeter
+	plotWidth  = 19 * vg.Centimeter
 	plotHeight = 10 * vg.Centimeter
+	// legendWidth has room for the labels of the declared experiments; legendTop is the title.
+	legendWidth = 4.5 * vg.Centimeter
+	legendTop   = 1 * vg.Centimeter
 	// plotPoints bounds the points of a line, so that a file stays small.
 	plotPoints = 100
 )
@@ -106,10 +114,30 @@
 	return kept
 }
 
+// palette has distinct colours, also for readers who cannot tell red from green (Okabe and Ito).
+var palette = []color.Color{
+	color.RGBA{A: 255}, color.RGBA{R: 230, G: 159, A: 255}, color.RGBA{R: 86, G: 180, B: 233, A: 255},
+	color.RGBA{G: 158, B: 115, A: 255}, color.RGBA{R: 204, G: 121, B: 167, A: 255}, color.RGBA{G: 114, B: 178, A: 255},
+	color.RGBA{R: 213, G: 94, A: 255}, color.RGBA{R: 150, G: 150, B: 150, A: 255},
+}
+
+// ticks are the default ones with labels of up to four digits; the default rounds 1.05 to 1.
+func ticks(least, most float64) []plot.Tick {
+	all := plot.DefaultTicks{}.Ticks(least, most)
+	for i := range all {
+		if all[i].Label != "" {
+			all[i].Label = strconv.FormatFloat(all[i].Value, 'g', 4, 64)
+		}
+	}
+	return all
+}
+
 func (f figure) save(file string) error {
 	p := plot.New()
 	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = f.title, f.x, f.y
-	p.Legend.Top = true
+	p.X.Tick.Marker, p.Y.Tick.Marker = plot.TickerFunc(ticks), plot.TickerFunc(ticks)
+	legend := plot.NewLegend()
+	legend.Top = true
 	p.Add(plotter.NewGrid())
 	for i, c := range f.lines {
 		xys := make(plotter.XYs, len(c.points))
@@ -119,14 +147,18 @@
 		if len(xys) == 0 {
 			continue
 		}
-		if err := f.add(p, i, c.label, xys); err != nil {
+		if err := f.add(p, &legend, i, c.label, xys); err != nil {
 			return err
 		}
 	}
-	w, err := p.WriterTo(plotWidth, plotHeight, "svg")
+	w, err := draw.NewFormattedCanvas(plotWidth, plotHeight, plotFormat(file))
 	if err != nil {
 		return fmt.Errorf("draw %s: %w", file, err)
 	}
+	// The legend has a column of its own, since it would hide lines.
+	canvas := draw.New(w)
+	p.Draw(draw.Crop(canvas, 0, -legendWidth, 0, 0))
+	legend.Draw(draw.Crop(canvas, plotWidth-legendWidth, 0, 0, -legendTop))
 	out, err := os.Create(file)
 	if err != nil {
 		return fmt.Errorf("create plot: %w", err)
@@ -138,23 +170,28 @@
 	return out.Close()
 }
 
-func (f figure) add(p *plot.Plot, i int, label string, xys plotter.XYs) error {
+// plotFormat is the format that the name of a file tells.
+func plotFormat(file string) string { return strings.TrimPrefix(filepath.Ext(file), ".") }
+
+func (f figure) add(p *plot.Plot, legend *plot.Legend, i int, label string, xys plotter.XYs) error {
+	shade := palette[i%len(palette)]
 	if f.isScatter {
 		s, err := plotter.NewScatter(xys)
 		if err != nil {
 			return fmt.Errorf("plot points: %w", err)
 		}
-		s.Color, s.Shape = plotutil.Color(i), plotutil.Shape(i)
+		// Points of two series that coincide show one around the other.
+		s.Color, s.Shape, s.Radius = shade, plotutil.Shape(i), vg.Points(2+1.5*float64(i))
 		p.Add(s)
-		p.Legend.Add(label, s)
+		legend.Add(label, s)
 		return nil
 	}
 	l, err := plotter.NewLine(xys)
 	if err != nil {
 		return fmt.Errorf("plot line: %w", err)
 	}
-	l.Color, l.Dashes = plotutil.Color(i), plotutil.Dashes(i)
+	l.Color, l.Dashes = shade, plotutil.Dashes(i)
 	p.Add(l)
-	p.Legend.Add(label, l)
+	legend.Add(label, l)
 	return nil
 }
--- a/experiment/report.go
+++ b/experiment/report.go
@@ -158,7 +158,11 @@
 		lines = append(lines, fmt.Sprintf("seed %d, %s simulated, measured from %s", r.Seed, d.Duration, d.Measure),
 			fmt.Sprintf("settings %+v", d.Settings))
 	}
-	rows := r.rows()
+	return writeTable(w, lines, r.rows())
+}
+
+// writeTable writes lines and then rows, of which the first is the header.
+func writeTable(w io.Writer, lines []string, rows [][]string) error {
 	widths := make([]int, len(rows[0]))
 	for _, row := range rows {
 		for i, cell := range row {
@@ -194,17 +198,7 @@
 		return fmt.Errorf("create report directory: %w", err)
 	}
 	base := filepath.Join(dir, r.Declaration.Name)
-	write := func(suffix string, f func(w io.Writer) error) error {
-		file, err := os.Create(base + suffix)
-		if err != nil {
-			return fmt.Errorf("create report: %w", err)
-		}
-		if err := f(file); err != nil {
-			_ = file.Close()
-			return fmt.Errorf("write report: %w", err)
-		}
-		return file.Close()
-	}
+	write := func(suffix string, f func(w io.Writer) error) error { return writeFile(base+suffix, f) }
 	if err := write(".txt", r.Table); err != nil {
 		return err
 	}
