--- a/cmd/loadgen/main.go
+++ b/cmd/loadgen/main.go
@@ -1,4 +1,5 @@
-// Command loadgen sends the load of many callers, or summarizes a run directory.
+// Command loadgen sends the load of many callers, or summarizes a run directory. SIGUSR1 ends
+// the load early; the final check of each flow still follows.
 package main
 
 import (
@@ -8,7 +9,9 @@
 	"io"
 	"net/netip"
 	"os"
+	"os/signal"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -46,6 +49,8 @@
 	ListBroken    bool          `long:"list-broken" description:"with --summarize, print each broken connection"`
 	ListPhases    bool          `long:"list-phases" description:"with --summarize, print what became of the requests after each event"`
 
+	Row bool `long:"row" description:"with --summarize, print one line with tabs for a table of runs instead"`
+
 	config loadgen.Config
 }
 
@@ -126,6 +131,9 @@
 func run(o *options, log zerolog.Logger) error {
 	ctx, cancel := process.UntilSignal()
 	defer cancel()
+	end, stop := signal.NotifyContext(ctx, syscall.SIGUSR1)
+	defer stop()
+	o.config.End = end.Done()
 	o.config.Log = log
 	o.config.Progress = func(line string) { _, _ = fmt.Fprintln(os.Stderr, line) }
 	report := loadgen.Run(ctx, o.config)
@@ -147,7 +155,11 @@
 		return err
 	}
 	violations := r.Check()
-	if err := r.WriteTable(w, violations); err != nil {
+	write := r.WriteTable
+	if o.Row {
+		write = r.WriteRow
+	}
+	if err := write(w, violations); err != nil {
 		return err
 	}
 	if o.ListPhases {
