--- a/config/relay/bench_test.go
+++ b/config/relay/bench_test.go
@@ -97,3 +97,54 @@
 		})
 	}
 }
+
+// Reports the processor time of a daemon that takes a change of one service as a delta, without
+// subscribers, that of the peer that gives it, and the bytes.
+func BenchmarkDelta(b *testing.B) {
+	for _, services := range benchSizes {
+		base := benchConfiguration(services)
+		changed := proto.CloneOf(base)
+		changed.Generation, changed.ChangeId = 3, "change-3"
+		changed.Services[0].Upstreams[0].State = pb.DeclaredState_DECLARED_STATE_DRAINING
+		giver := newBenchRelay(telemetry.NewCounters())
+		giver.HandlePush(&pb.PushConfigurationRequest{Configuration: base})
+		giver.HandlePush(&pb.PushConfigurationRequest{Configuration: changed})
+		b.Run(fmt.Sprintf("give/services=%d", services), func(b *testing.B) {
+			bytes := 0
+			for b.Loop() {
+				raw, err := proto.Marshal(giver.HandleGet(&pb.GetConfigurationRequest{HaveGeneration: 2}))
+				if err != nil {
+					b.Fatal(err)
+				}
+				bytes = len(raw)
+			}
+			b.ReportMetric(float64(bytes), "B/change")
+		})
+		b.Run(fmt.Sprintf("take/services=%d", services), func(b *testing.B) {
+			delta := giver.HandleGet(&pb.GetConfigurationRequest{HaveGeneration: 2}).GetDelta()
+			if delta == nil {
+				b.Fatal("the whole configuration was given")
+			}
+			raw, err := proto.Marshal(&pb.PushConfigurationRequest{Delta: delta})
+			if err != nil {
+				b.Fatal(err)
+			}
+			counters := telemetry.NewCounters()
+			takers := make([]*relay.Relay, b.N)
+			for i := range takers {
+				takers[i] = newBenchRelay(counters)
+				takers[i].HandlePush(&pb.PushConfigurationRequest{Configuration: base})
+			}
+			b.ResetTimer()
+			for _, taker := range takers {
+				request := &pb.PushConfigurationRequest{}
+				if err := proto.Unmarshal(raw, request); err != nil {
+					b.Fatal(err)
+				}
+				if taker.HandlePush(request).GetGeneration() != 3 {
+					b.Fatal("not in force")
+				}
+			}
+		})
+	}
+}
