--- a/test/testcluster/network.go
+++ b/test/testcluster/network.go
@@ -102,7 +102,7 @@
 	for _, dd := range c.Declaration.Daemons {
 		usable = c.appendUsable(usable, from, c.daemons[dd.Name])
 	}
-	for _, name := range c.extra() {
+	for _, name := range c.added {
 		usable = c.appendUsable(usable, from, c.daemons[name])
 	}
 	if len(usable) == 0 {
@@ -134,3 +134,13 @@
 	}
 	return names
 }
+
+// Inject sends a datagram from an address that nobody listens at, as a caller does that claims
+// to be somebody else.
+func (c *Cluster) Inject(from, to netip.AddrPort, data []byte) {
+	conn := c.listen(from)
+	if err := conn.Send(to, data); err != nil {
+		c.t.Error(err)
+	}
+	_ = conn.Close()
+}
