Keep half-open flows from taking the slots of others

Requests of dead flows stay in progress until their deadline, so two of them used up the limit and the next two took the lent slots. The 1.5 s until a slot was lent did the rest. Slots of an upstream that is frozen as a whole were lent too, so that requests waiting for it were sent and ended as outcome unknown.

Change: lent slots have no limit. A flow is probed after the second unanswered repeat of a request. Its slots are lent 250 ms later, and only if the upstream answers on another flow; when dead flows hold all slots, the flow of a waiting request is probed for that. Later requests of the flow wait outside the slots until it is heard from. A half-open reset also goes to the flow's owner, by way of a RESET on the caller's side.

An upstream whose answers alone are lost runs the lent requests above its slots; the design states the bound.

--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -261,6 +261,20 @@
 	o.d.routedToAdmission(raw)
 }
 
+func (o requestOutput) ToFlowOwner(p *pb.Packet) {
+	raw, err := wire.EncodePacket(p)
+	if err != nil {
+		o.d.counters.Drop(decodeReason(err))
+		return
+	}
+	h, err := wire.ParseHeader(raw)
+	if err != nil {
+		o.d.counters.Drop(decodeReason(err))
+		return
+	}
+	o.d.toFlowOwner(h, raw, 0)
+}
+
 func (o requestOutput) Notify(n *pb.UpstreamNotice) { o.notify(n) }
 
 // toCaller sends a packet to the caller's address in its flow key. Callers never set the
--- a/daemon/forged_test.go
+++ b/daemon/forged_test.go
@@ -147,3 +147,17 @@
 	c.t.Fatalf("nobody holds the admission of upstream %d", number)
 	return ""
 }
+
+// dropToUpstreams drops what goes to the upstream on a flow, and counts the RESETs.
+func dropToUpstreams(flow wire.FlowKey, resets *int) func(from, to netip.AddrPort, data []byte, delay time.Duration) []time.Duration {
+	return func(_, to netip.AddrPort, data []byte, delay time.Duration) []time.Duration {
+		p, err := wire.DecodePacket(data)
+		if err != nil || p.GetVerificationTag() == 0 || to == flow.Service() || wire.FlowKeyFromProto(p.GetFlow()) != flow {
+			return []time.Duration{delay}
+		}
+		if p.GetKind() == pb.Kind_KIND_RESET {
+			*resets++
+		}
+		return nil
+	}
+}
--- a/experiment/node.go
+++ b/experiment/node.go
@@ -191,6 +191,18 @@
 	o.w.clock.afterBy(hop, q, upstream, func() { o.w.toAdmission(q) })
 }
 
+func (o engineOutput) ToFlowOwner(p *pb.Packet) {
+	if o.dead.Load() {
+		return
+	}
+	q := proto.CloneOf(p)
+	o.w.clock.afterBy(hop, q, 0, func() {
+		if f := o.w.flows[wire.FlowKeyFromProto(q.GetFlow())]; f != nil {
+			o.w.send(f, q)
+		}
+	})
+}
+
 func (o engineOutput) Notify(m *pb.UpstreamNotice) {
 	if o.dead.Load() {
 		return
--- a/load/tracker.go
+++ b/load/tracker.go
@@ -228,7 +228,7 @@
 	if t.inProgress > 0 && now.Sub(t.reported) < reportLife {
 		used += t.foreign
 	}
-	return max(usable+min(t.lent, t.slots)-used, 0)
+	return max(usable+t.lent-used, 0)
 }
 
 // Lend lets another request use the slot of one that the upstream does not run any more, until
@@ -243,7 +243,7 @@
 func (t *Tracker) ExpectedWait(now time.Time, queued int) time.Duration {
 	usable := t.Usable(now)
 	held := max(t.heldUntil.Sub(now), 0)
-	if queued < usable-t.inProgress {
+	if queued < usable-(t.inProgress-t.lent) {
 		return held
 	}
 	return held + t.service*time.Duration(queued+1)/time.Duration(max(usable, 1))
--- a/request/admission.go
+++ b/request/admission.go
@@ -37,7 +37,11 @@
 	announce load.Announcer
 	watches  map[wire.FlowKey]*watch
 	heard    recentFlows
-	released time.Time
+	// references holds flows of waiting requests that were probed to see whether the upstream
+	// answers; referenceAt is the time of the last such probe.
+	references  map[wire.FlowKey]struct{}
+	referenceAt time.Time
+	released    time.Time
 	// handback holds requests that were queued at the release.
 	handback []*record
 
@@ -59,6 +63,7 @@
 	toUpstream effectKind = iota
 	toCaller
 	toAdmission
+	toFlowOwner
 	notify
 )
 
@@ -99,6 +104,8 @@
 		output.ToCaller(s.packet)
 	case toAdmission:
 		output.ToAdmission(a.resource.Service, s.target, s.packet)
+	case toFlowOwner:
+		output.ToFlowOwner(s.packet)
 	case notify:
 		output.Notify(s.notice)
 	}
--- a/request/admit.go
+++ b/request/admit.go
@@ -40,6 +40,9 @@
 		a.toUpstream(t.address, p)
 	case pb.Kind_KIND_CLOSE, pb.Kind_KIND_RESET:
 		a.dropFlow(t.flow, pb.Reason_REASON_CANCELLED)
+		if p.GetKind() == pb.Kind_KIND_RESET && p.GetReason() == pb.Reason_REASON_HALF_OPEN {
+			return // It came back from the flow's owner; the upstream has been told.
+		}
 		a.toUpstream(t.address, p)
 	case pb.Kind_KIND_KEEPALIVE, pb.Kind_KIND_KEEPALIVE_ACK:
 		a.toUpstream(t.address, p)
--- a/request/bench_test.go
+++ b/request/bench_test.go
@@ -28,6 +28,7 @@
 func (*sink) ToUpstream(netip.AddrPort, *pb.Packet)  {}
 func (s *sink) ToCaller(p *pb.Packet)                { s.reason.Store(int32(p.GetReason())) }
 func (*sink) ToAdmission(uint32, uint32, *pb.Packet) {}
+func (*sink) ToFlowOwner(*pb.Packet)                 {}
 func (s *sink) Notify(n *pb.UpstreamNotice)          { s.token.Store(n.GetGuardToken()) }
 
 type fixed struct{ *config.Snapshot }
--- a/request/dispatch.go
+++ b/request/dispatch.go
@@ -15,19 +15,21 @@
 // admit queues a request, hands it on, or refuses it.
 func (a *admission) admit(t target, r *record, now time.Time) {
 	r.state = queued
-	wait := a.tracker.ExpectedWait(now, len(a.queue))
+	waiting := a.waiting()
+	wait := a.tracker.ExpectedWait(now, waiting)
 	limit := int(t.service.GetLimits().GetQueueLength())
 	if limit == 0 {
 		limit = defaultQueueLength(t.service.GetAim())
 	}
 	switch {
-	case len(a.queue) >= limit:
+	case waiting >= limit || len(a.queue) >= 2*limit:
+		// Requests of flows under suspicion have a queue length of their own.
 		a.refuse(t, r, pb.Reason_REASON_QUEUE_FULL, now)
 		return
 	case !a.isInTime(r, now.Add(wait), now):
 		a.refuse(t, r, pb.Reason_REASON_DEADLINE, now)
 		return
-	case len(a.queue) > 0 && a.spillIfShorter(t, r, wait, now):
+	case waiting > 0 && a.spillIfShorter(t, r, wait, now):
 		return
 	}
 	a.queue = append(a.queue, r)
@@ -55,10 +57,13 @@
 
 // dispatch sends queued requests while slots are free.
 func (a *admission) dispatch(t target, now time.Time) {
-	for a.active && len(a.queue) > 0 && a.tracker.Free(now) > 0 {
-		r := a.queue[0]
-		a.queue[0] = nil
-		a.queue = a.queue[1:]
+	for a.active && a.tracker.Free(now) > 0 {
+		i := slices.IndexFunc(a.queue, func(r *record) bool { return !a.isHeldBack(r) })
+		if i < 0 {
+			return
+		}
+		r := a.queue[i]
+		a.queue = slices.Delete(a.queue, i, i+1)
 		if !a.isInTime(r, now, now) {
 			a.finish(r, pb.Status_STATUS_NOT_RUN, pb.Reason_REASON_DEADLINE)
 			continue
--- a/request/engine.go
+++ b/request/engine.go
@@ -29,6 +29,9 @@
 	// ToAdmission sends a packet to the holder of an upstream's admission, which may be
 	// this daemon.
 	ToAdmission(service, upstream uint32, p *pb.Packet)
+	// ToFlowOwner sends a packet of the caller's side to the daemon that decides the flow's
+	// upstream, which may be this one. It comes back by HandleCaller.
+	ToFlowOwner(p *pb.Packet)
 	// Notify sends a notice to the flow owners.
 	Notify(n *pb.UpstreamNotice)
 }
--- a/request/probe.go
+++ b/request/probe.go
@@ -13,9 +13,16 @@
 	probeAfter    = time.Second
 	probeInterval = 2 * time.Second
 	probeCount    = 3
+	// probeAfterRepeats probes the flow of a request sooner, about nine service times after it
+	// was sent. Until then a lost packet or a long run is more likely than a dead flow.
+	probeAfterRepeats = 2
 	// lendAfter is far above the time of an acknowledgement. An unanswered probe then tells a
 	// dead flow from a request that runs long.
-	lendAfter = 500 * time.Millisecond
+	lendAfter = 250 * time.Millisecond
+	// referenceInterval is the time between two probes of flows with waiting requests.
+	referenceInterval = 100 * time.Millisecond
+	// maxReferences bounds the flows whose acknowledgement is still kept from the caller.
+	maxReferences = 64
 	// maxWatches bounds the memory for flows with unanswered packets.
 	maxWatches = 65536
 )
@@ -24,7 +31,10 @@
 type watch struct {
 	since  time.Time // of the first unanswered packet
 	probes int
+	first  time.Time // of the first probe
 	last   time.Time
+	// early is set when a request of the flow was repeated often enough for a probe.
+	early bool
 	// othersAnswer is whether the upstream answered other flows by the second probe.
 	othersAnswer bool
 }
@@ -64,9 +74,11 @@
 // heardFrom notes that the upstream knows the flow. It reports whether a probe was pending.
 func (a *admission) heardFrom(k wire.FlowKey, now time.Time) (probed bool) {
 	a.heard.note(k, now)
+	_, isReference := a.references[k]
+	delete(a.references, k)
 	w := a.watches[k]
 	if w == nil {
-		return false
+		return isReference
 	}
 	delete(a.watches, k)
 	for _, r := range a.busy {
@@ -75,7 +87,29 @@
 			a.watch(k, now)
 		}
 	}
-	return w.probes > 0
+	return w.probes > 0 || isReference
+}
+
+// isSuspect reports whether a probe of the flow is unanswered. Requests of such a flow wait
+// outside the slots.
+func (a *admission) isSuspect(k wire.FlowKey) bool {
+	w := a.watches[k]
+	return w != nil && w.probes > 0
+}
+
+// isHeldBack reports whether a queued request waits until its flow has answered a probe. One
+// that another admission handed on is not on a flow of this upstream.
+func (a *admission) isHeldBack(r *record) bool { return !r.spilled && a.isSuspect(r.key.flow) }
+
+// waiting returns the number of queued requests that get the next free slots.
+func (a *admission) waiting() int {
+	n := 0
+	for _, r := range a.queue {
+		if !a.isHeldBack(r) {
+			n++
+		}
+	}
+	return n
 }
 
 // probe sends the probes that are due and resets flows that answered none of them while the
@@ -83,13 +117,19 @@
 func (a *admission) probe(t target, now time.Time) {
 	for k, w := range a.watches {
 		due := w.since.Add(probeAfter)
-		if w.probes > 0 {
+		switch {
+		case w.probes > 0:
 			due = w.last.Add(probeInterval)
+		case w.early:
+			due = now
 		}
 		if now.Before(due) {
 			continue
 		}
 		if w.probes < probeCount {
+			if w.probes == 0 {
+				w.first = now
+			}
 			w.probes++
 			w.last = now
 			if w.probes == probeCount-1 {
@@ -107,13 +147,22 @@
 	}
 }
 
-// lendSlots lets other requests use the slots of those whose flow does not answer a probe.
-// Without this, a few flows that something between the two ends has lost track of hold all
-// slots of an upstream, which does not use them, until their requests' deadlines.
-func (a *admission) lendSlots(now time.Time) {
+// lendSlots lets other requests use the slots of those whose flow does not answer a probe while
+// the upstream answers on another flow. Without this, a few flows that something between the two
+// ends has lost track of hold all slots of an upstream, which does not use them, until their
+// requests' deadlines. Without the answer on another flow, requests that wait for an upstream
+// that is frozen as a whole would be sent and end as outcome unknown instead of not run.
+func (a *admission) lendSlots(t target, now time.Time) {
 	for _, r := range a.busy {
+		if r.lent || r.state != running || !a.isSuspect(r.key.flow) {
+			continue
+		}
 		w := a.watches[r.key.flow]
-		if r.lent || r.state != running || w == nil || w.probes == 0 || now.Sub(w.last) < lendAfter {
+		if !a.heard.otherSince(r.key.flow, w.first) {
+			a.probeReference(t, now)
+			continue
+		}
+		if now.Sub(w.first) < lendAfter {
 			continue
 		}
 		r.lent = true
@@ -122,6 +171,26 @@
 	}
 }
 
+// probeReference probes the flow of a request that waits for a slot: while dead flows hold all
+// slots, nothing else shows whether the upstream answers at all.
+func (a *admission) probeReference(t target, now time.Time) {
+	if now.Sub(a.referenceAt) < referenceInterval {
+		return
+	}
+	for _, r := range a.queue {
+		if r.spilled || a.isSuspect(r.key.flow) {
+			continue
+		}
+		a.referenceAt = now
+		if a.references == nil || len(a.references) > maxReferences {
+			a.references = map[wire.FlowKey]struct{}{}
+		}
+		a.references[r.key.flow] = struct{}{}
+		a.toUpstream(t.address, a.packet(r.key.flow, pb.Kind_KIND_KEEPALIVE))
+		return
+	}
+}
+
 // reclaim ends the lending of a slot, when its flow is heard from or its request ends.
 func (a *admission) reclaim(r *record) {
 	if r.lent {
@@ -140,4 +209,7 @@
 	p := a.packet(k, pb.Kind_KIND_RESET)
 	p.Reason = pb.Reason_REASON_HALF_OPEN
 	a.toUpstream(t.address, p)
+	// Otherwise the owner's record would stay until the idle limit.
+	a.out = append(a.out, effect{kind: toFlowOwner, packet: &pb.Packet{Flow: k.Proto(), Kind: pb.Kind_KIND_RESET,
+		Service: a.resource.Service, Reason: pb.Reason_REASON_HALF_OPEN}})
 }
--- a/request/record.go
+++ b/request/record.go
@@ -55,6 +55,7 @@
 	outgoing *pb.Packet
 	repeatAt time.Time
 	interval time.Duration
+	repeats  int
 	// lent is true while another request may use the slot, since the flow looks dead.
 	lent bool
 
--- a/request/retransmit.go
+++ b/request/retransmit.go
@@ -23,7 +23,7 @@
 // answers, every slot of a service is held after some ten requests.
 func (a *admission) transmit(addr netip.AddrPort, r *record, now time.Time, p *pb.Packet) {
 	p.Transmission = a.engine.transmissions.Add(1)
-	r.outgoing = p
+	r.outgoing, r.repeats = p, 0
 	r.interval = max(minRepeat, serviceTimesBeforeRepeat*a.tracker.ServiceTime(now))
 	r.repeatAt = now.Add(r.interval)
 	a.toUpstream(addr, p)
@@ -36,6 +36,10 @@
 		if r.state != running || r.outgoing == nil || now.Before(r.repeatAt) || !now.Before(r.deadline) {
 			continue
 		}
+		r.repeats++
+		if w := a.watches[r.key.flow]; w != nil && r.repeats >= probeAfterRepeats && !r.spilled {
+			w.early = true
+		}
 		r.interval = min(2*r.interval, maxRepeat)
 		r.repeatAt = now.Add(r.interval)
 		again := proto.CloneOf(r.outgoing)
--- a/request/task.go
+++ b/request/task.go
@@ -76,7 +76,7 @@
 	a.expireBusy(t, now)
 	a.repeat(t, now)
 	a.probe(t, now)
-	a.lendSlots(now)
+	a.lendSlots(t, now)
 	if isElsewhere {
 		a.handBack(now)
 	}
--- a/request/world_test.go
+++ b/request/world_test.go
@@ -44,6 +44,7 @@
 	flows     map[wire.FlowKey]uint32
 	notices   []*pb.UpstreamNotice
 	toCaller  []*pb.Packet
+	toOwner   []*pb.Packet
 	// fate returns the delays of the copies of one packet; nil is one hop.
 	fate func(leg leg) []time.Duration
 	port uint16
@@ -245,6 +246,14 @@
 	})
 }
 
+func (d *daemon) ToFlowOwner(p *pb.Packet) {
+	d.do(func() {
+		d.w.mu.Lock()
+		defer d.w.mu.Unlock()
+		d.w.toOwner = append(d.w.toOwner, p)
+	})
+}
+
 func (d *daemon) Notify(n *pb.UpstreamNotice) {
 	d.do(func() {
 		d.w.mu.Lock()
