--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -42,10 +42,17 @@
 	admitter  admitter
 	verifier  *wire.Verifier
 	counters  *telemetry.Counters
+	// paused reports that this daemon may have lost its resources in a pause that it has not
+	// dealt with: packets that queued meanwhile may be for flows that a new owner placed.
+	paused func() bool
 }
 
 // ingress takes a packet from the fabric.
 func (d *dispatcher) ingress(raw []byte) {
+	if d.paused() {
+		d.counters.Drop("paused")
+		return
+	}
 	h, err := wire.ParseHeader(raw)
 	if err != nil {
 		d.counters.Drop(decodeReason(err))
@@ -81,6 +88,10 @@
 
 // forwarded takes a packet that another daemon passed on. It does not keep raw.
 func (d *dispatcher) forwarded(_ membership.DaemonID, hops uint32, role pb.ForwardRole, raw []byte) {
+	if d.paused() {
+		d.counters.Drop("paused")
+		return
+	}
 	h, err := wire.ParseHeader(raw)
 	if err != nil {
 		d.counters.Drop(decodeReason(err))
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -70,8 +71,14 @@
 	counters   *telemetry.Counters
 	logger     zerolog.Logger
 	leaving    atomic.Bool
-	// drained is set once the daemon has left because the configuration drains it.
+	// drained is set while the daemon is out because the configuration drains it.
 	drained atomic.Bool
+	// rejoining is set from an undrain until the daemon has claimed its share.
+	rejoining atomic.Bool
+	// leaveMu guards stopping, and makes each leave and each rejoin one step.
+	leaveMu sync.Mutex
+	// stopping is set when the process shuts down, which an undrain does not end.
+	stopping bool
 }
 
 // lateBinding breaks the construction cycle between membership, messenger and relay: each of
@@ -111,11 +118,11 @@
 		Rand:         rand.New(rand.NewPCG(o.Seed, 1)),
 	})
 	n.messenger = peer.NewMessenger(peer.MessengerOptions{
-		Self: o.Self.ID, Incarnation: n.membership.SelfIncarnation, Key: o.Key, Conn: o.PeerConn,
+		Self: o.Self.ID, Incarnation: n.membership.SelfIncarnation, Key: o.Key, Conn: o.PeerConn, Gather: []wire.Conn{o.DataConn},
 		Viewer: late, Counters: o.Counters, Logger: o.Logger,
 	})
 	n.dispatcher = &dispatcher{conn: o.DataConn, config: n.relay, forwarder: n.messenger,
-		verifier: wire.NewVerifier(o.Key), counters: o.Counters}
+		verifier: wire.NewVerifier(o.Key), counters: o.Counters, paused: n.membership.Paused}
 	n.buildRoles(o)
 	n.messenger.Handle(n.handlePeer)
 	n.messenger.HandleForward(n.dispatcher.forwarded)
@@ -136,7 +143,7 @@
 	n.steerer = steering.New(steering.Options{
 		Config: n.relay, Router: routes, Sender: n.messenger, Output: steeringOutput{n.dispatcher},
 		Counters: o.Counters, Logger: o.Logger,
-		Isolated: func() bool { return !n.membership.View().HearsMajority() },
+		Isolated: func() bool { return n.membership.Paused() || !n.membership.View().HearsMajority() },
 	})
 	n.admissions = request.New(request.Options{
 		Self: o.Self.ID, Config: n.relay, Router: routes, Load: n.load,
@@ -259,7 +266,9 @@
 func (n *Node) PeerService() peerServiceHandler { return peerService{n} }
 
 // IsReady reports whether the daemon has a configuration and serves.
-func (n *Node) IsReady() bool { return n.relay.Current().Generation() > 0 && !n.leaving.Load() }
+func (n *Node) IsReady() bool {
+	return n.relay.Current().Generation() > 0 && !n.leaving.Load() && !n.rejoining.Load()
+}
 
 // Run serves until ctx is cancelled. Use Leave first for a graceful shutdown.
 func (n *Node) Run(ctx context.Context) error {
@@ -311,9 +320,24 @@
 			}
 			return fmt.Errorf("read packets: %w", err)
 		}
-		for i := range count {
-			n.dispatcher.ingress(batch[i].Data)
+		n.takeBatch(batch[:count])
+	}
+}
+
+// takeBatch handles datagrams of one read. What they cause to be sent goes out by few system
+// calls, unless there is one only.
+func (n *Node) takeBatch(batch []wire.Datagram) {
+	if len(batch) == 1 {
+		n.dispatcher.ingress(batch[0].Data)
+		return
+	}
+	lost := wire.Gather([]wire.Conn{n.dispatcher.conn, n.peerConn}, func() {
+		for _, d := range batch {
+			n.dispatcher.ingress(d.Data)
 		}
+	})
+	if lost > 0 {
+		n.counters.Add("drop.send_failed", int64(lost))
 	}
 }
 
@@ -321,13 +345,32 @@
 const drainPoll = 50 * time.Millisecond
 
 // Leave announces the leave, hands over all resources and waits until no request is in
-// progress here. It returns the context's error when ctx ends first.
+// progress here. It returns the context's error when ctx ends first. The process must end
+// after it.
 func (n *Node) Leave(ctx context.Context) error {
+	n.leaveMu.Lock()
+	n.stopping = true
+	n.announceLeave()
+	n.leaveMu.Unlock()
+	return n.handOver(ctx)
+}
+
+// announceLeave makes this daemon take on nothing new. n.leaveMu is held.
+func (n *Node) announceLeave() {
 	n.leaving.Store(true)
+	n.rejoining.Store(false)
 	n.membership.Leave()
+}
+
+// handOver waits until others have claimed all resources and no request is in progress here.
+func (n *Node) handOver(ctx context.Context) error {
 	if err := n.ownership.Leave(ctx); err != nil {
 		return fmt.Errorf("hand over: %w", err)
 	}
+	return n.finishRequests(ctx)
+}
+
+func (n *Node) finishRequests(ctx context.Context) error {
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
 	for n.admissions.InProgress() > 0 {
--- a/membership/run.go
+++ b/membership/run.go
@@ -17,7 +17,8 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	last := time.Now()
-	nextProbe := last
+	m.noteTick(last)
+	probed := int64(0)
 	m.startJoin(last)
 	for {
 		now := time.Now()
@@ -25,11 +26,12 @@
 			m.resume(now, now.Sub(last))
 		}
 		last = now
+		m.noteTick(now)
 		m.dropSuspects(now)
 		m.checkProbes(now)
-		if !now.Before(nextProbe) {
-			nextProbe = now.Add(ProbeInterval)
-			m.startProbe(now)
+		if interval := now.UnixNano() / int64(ProbeInterval); interval != probed {
+			probed = interval
+			m.startProbe(now, interval)
 		}
 		m.announceUrgent(now)
 		m.retryGone(now)
@@ -42,6 +44,16 @@
 	}
 }
 
+func (m *Membership) noteTick(now time.Time) { m.tickedAt.Store(&now) }
+
+// Paused reports whether this daemon was paused for longer than DropTimeout and Run has not
+// dealt with that yet. Others may have taken its resources over, so that what it believes to
+// hold must not be used. It is false before Run.
+func (m *Membership) Paused() bool {
+	at := m.tickedAt.Load()
+	return at != nil && time.Since(*at) > DropTimeout
+}
+
 func (m *Membership) runNotifier(ctx context.Context) {
 	var previous *View
 	previous = m.notify(&View{})
@@ -62,8 +74,7 @@
 	m.options.Counters.Count("membership.paused")
 	m.options.OnPause()
 	m.mu.Lock()
-	m.self.Incarnation = max(m.self.Incarnation+1, uint64(now.UnixNano()))
-	m.gossip.add(m.self, m.size())
+	m.renew(now)
 	clear(m.probes)
 	clear(m.relayed)
 	for _, e := range m.entries {
--- a/standin/loadgen/run.go
+++ b/standin/loadgen/run.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"github.com/fulmarfield/fulmarfield/internal/wait"
 	"github.com/fulmarfield/fulmarfield/telemetry"
 	"github.com/fulmarfield/fulmarfield/wire"
 )
@@ -44,6 +45,13 @@
 func Run(ctx context.Context, c Config) *Report {
 	load, cancel := context.WithTimeout(ctx, c.Duration)
 	defer cancel()
+	go func() {
+		select {
+		case <-c.End:
+			cancel()
+		case <-load.Done():
+		}
+	}()
 	r := &runner{config: c, counters: telemetry.NewCounters(), load: load, parent: ctx}
 	r.remaining.Store(c.MaxRequests)
 	started := time.Now()
@@ -164,13 +172,4 @@
 }
 
 // sleep waits for d and reports whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
+func sleep(ctx context.Context, d time.Duration) bool { return wait.For(ctx, d) == nil }
--- a/test/testcluster/cluster.go
+++ b/test/testcluster/cluster.go
@@ -71,6 +71,7 @@
 	mu        sync.Mutex
 	rng       *rand.Rand
 	daemons   map[string]*Daemon
+	added     []string // daemons that the declaration does not name, in order of their names
 	cuts      map[[2]int]bool
 	tamper    func(from, to netip.AddrPort, data []byte, delay time.Duration) []time.Duration
 	callers   uint16
@@ -85,6 +86,8 @@
 	alive  bool
 	inUse  bool // in the fabric's list
 	cancel context.CancelFunc
+	// Closed while the daemon is paused; the peer gate holds its calls and timers, too.
+	dataGate, peerGate gate
 }
 
 // Start builds the deployment and applies its declaration. It must be called in a synctest
@@ -126,6 +129,8 @@
 func (c *Cluster) Close() {
 	c.mu.Lock()
 	for _, d := range c.daemons {
+		d.dataGate.open()
+		d.peerGate.open()
 		if d.alive {
 			d.alive = false
 			d.cancel()
@@ -189,23 +194,27 @@
 	if c.options.Log != nil {
 		log = zerolog.New(c.options.Log).With().Str("daemon", name).Timestamp().Logger()
 	}
-	store := c.Platform.Store(address)
-	node := daemon.NewNode(daemon.Options{
+	counters := telemetry.NewCounters()
+	store := countedStore{c.Platform.Store(address), counters}
+	d := &Daemon{Member: member, alive: true, inUse: true}
+	d.Node = daemon.NewNode(daemon.Options{
 		Self: member, Key: []byte("a key of at least 16 bytes"), Store: store,
-		DataConn: c.listen(netip.AddrPortFrom(address, dataPort)), PeerConn: c.listen(member.PeerAddress),
-		Seeds: daemon.SeedsFrom(member.ID, nil, store),
+		DataConn: &gatedConn{c.listen(netip.AddrPortFrom(address, dataPort)), &d.dataGate},
+		PeerConn: &gatedConn{c.listen(member.PeerAddress), &d.peerGate},
+		Seeds:    daemon.SeedsFrom(member.ID, nil, store),
 		Clients: func(v membership.Viewer) daemon.Clients {
-			return &clients{cluster: c, self: address, viewer: v}
+			return &clients{cluster: c, self: address, viewer: v, gate: &d.peerGate}
 		},
-		Counters: telemetry.NewCounters(), Logger: log, Seed: c.options.Seed + xxhash.Sum64String(name),
+		Counters: counters, Logger: log, Seed: c.options.Seed + xxhash.Sum64String(name),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	d := &Daemon{Node: node, Member: member, alive: true, inUse: true, cancel: cancel}
+	d.cancel = cancel
 	c.mu.Lock()
 	c.daemons[name] = d
+	c.added = c.extra()
 	c.mu.Unlock()
 	c.wg.Go(func() {
-		if err := node.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
+		if err := d.Node.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
 			c.t.Errorf("daemon %s: %v", name, err)
 		}
 	})
@@ -219,6 +228,18 @@
 	return c.daemons[name]
 }
 
+// daemonAt returns the daemon at an address, nil if there is none.
+func (c *Cluster) daemonAt(address netip.Addr) *Daemon {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, d := range c.daemons {
+		if d.Member.PeerAddress.Addr() == address {
+			return d
+		}
+	}
+	return nil
+}
+
 // Live returns the daemons that are alive, in order of their names.
 func (c *Cluster) Live() []*Daemon {
 	c.mu.Lock()
@@ -229,7 +250,7 @@
 			live = append(live, d)
 		}
 	}
-	for _, name := range c.extra() {
+	for _, name := range c.added {
 		if d := c.daemons[name]; d.alive {
 			live = append(live, d)
 		}
@@ -246,6 +267,8 @@
 	d := c.daemons[name]
 	d.alive = false
 	c.mu.Unlock()
+	d.dataGate.open()
+	d.peerGate.open()
 	d.cancel()
 	time.AfterFunc(withdrawAfter, func() { c.Withdraw(name) })
 }
@@ -291,6 +314,17 @@
 	return nil, fmt.Errorf("service %s is not declared", service)
 }
 
+// Send sends a datagram from a new caller address, as the fabric would hand it to any daemon.
+func (c *Cluster) Send(to netip.AddrPort, data []byte) error {
+	c.mu.Lock()
+	c.callers++
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 9, byte(c.callers >> 8), byte(c.callers)}), 40000)
+	c.mu.Unlock()
+	conn := c.listen(address)
+	c.onClose(conn)
+	return conn.Send(to, data)
+}
+
 // Run sends one line of the operators' language to a daemon.
 func (c *Cluster) Run(ctx context.Context, daemonName, line, changeID, author string) (*pb.RunResponse, error) {
 	r, err := c.Daemon(daemonName).Node.OperatorService().Run(ctx, connect.NewRequest(&pb.RunRequest{
