Refuse to remove an upstream that may have established flows

Cause: "remove upstream" checked only that the upstream was draining, and an apply of a file that left an upstream out checked nothing.

Change: before the commit the daemon asks all daemons for their flows on the removed upstreams. It refuses an upstream that is not draining or has a flow, and any removal while a daemon that may hold flows does not answer.

TestRemovalThatEndsFlowsIsRefused fails without the check ("committed"). TestPlanAndApply removed an upstream with a flow by apply; it expects the refusal now and then applies by force.

--- a/client/program.go
+++ b/client/program.go
@@ -38,6 +38,7 @@
 	Wait        time.Duration `long:"wait" default:"5s" description:"how long a change waits until it is in force; 0 does not wait"`
 	Author      string        `long:"author" env:"FULMAR_AUTHOR" description:"name in the history; default is the user"`
 	ChangeID    string        `long:"change-id" description:"id of the change; a repeat with the same id changes nothing; default is random"`
+	Force       bool          `long:"force" description:"let an apply remove upstreams that have established flows, which end"`
 	Expected    uint64        `long:"expected-generation" description:"refuse an apply when another generation is in force; 0 means any"`
 }
 
@@ -184,7 +185,7 @@
 	id := p.changeID()
 	r, err := p.client.Apply(ctx, &pb.ApplyRequest{
 		FileName: file, Declaration: data, ChangeId: id,
-		ExpectedGeneration: p.flags.Expected, WaitMs: uint32(p.flags.Wait.Milliseconds()),
+		Force: p.flags.Force, ExpectedGeneration: p.flags.Expected, WaitMs: uint32(p.flags.Wait.Milliseconds()),
 	})
 	if err != nil {
 		return p.noAnswer(err, id)
--- a/command/grammar.go
+++ b/command/grammar.go
@@ -32,6 +32,9 @@
 	Abort       *Abort       `parser:"| @@"`
 }
 
+// IsForced reports whether the command may end established flows.
+func (c *Command) IsForced() bool { return c.Remove != nil && c.Remove.Force != "" }
+
 // AddUpstream declares a new upstream.
 type AddUpstream struct {
 	Name    string `parser:"'add' 'upstream' @Word"`
--- a/command/locate.go
+++ b/command/locate.go
@@ -61,6 +61,8 @@
 		return names
 	case errors.Is(err, declaration.ErrNotDraining):
 		return []string{"drain the upstream first", "or add the word force, which ends its flows"}
+	case errors.Is(err, declaration.ErrHasFlows), errors.Is(err, declaration.ErrFlowsUnknown):
+		return []string{"wait until show drain has no flow and no daemon is missing", "or add the word force, which ends the flows"}
 	case errors.Is(err, ErrUnknownID):
 		var ids []string
 		for _, r := range c.GetHistory() {
--- a/config/declaration/errors.go
+++ b/config/declaration/errors.go
@@ -15,4 +15,8 @@
 	ErrOtherDeployment = errors.New("declaration is of another deployment")
 	// ErrNotDraining refuses the removal of an upstream that may have established flows.
 	ErrNotDraining = errors.New("upstream is not draining")
+	// ErrHasFlows refuses the removal of an upstream whose established flows would end.
+	ErrHasFlows = errors.New("upstream has established flows, which its removal would end")
+	// ErrFlowsUnknown refuses a removal while a daemon that may hold flows does not answer.
+	ErrFlowsUnknown = errors.New("established flows are not known, as daemons did not answer")
 )
--- a/daemon/declaration_test.go
+++ b/daemon/declaration_test.go
@@ -6,6 +6,7 @@
 	"regexp"
 	"strings"
 	"testing"
+	"time"
 
 	"connectrpc.com/connect"
 	. "github.com/onsi/gomega"
@@ -23,9 +24,14 @@
 }
 
 func (c operators) apply(text, id string, expected uint64) *pb.ApplyResponse {
+	c.t.Helper()
+	return c.applyWith(text, id, expected, false)
+}
+
+func (c operators) applyWith(text, id string, expected uint64, force bool) *pb.ApplyResponse {
 	c.t.Helper()
 	r, err := c.Daemon("winkel-1").Node.OperatorService().Apply(context.Background(), connect.NewRequest(&pb.ApplyRequest{
-		FileName: "new.yaml", Declaration: []byte(text), ChangeId: id, Author: "anna", ExpectedGeneration: expected, WaitMs: 3000,
+		FileName: "new.yaml", Declaration: []byte(text), ChangeId: id, Author: "anna", ExpectedGeneration: expected, WaitMs: 3000, Force: force,
 	}))
 	c.Expect(err).NotTo(HaveOccurred())
 	return r.Msg
@@ -57,7 +63,8 @@
 		c.Expect(c.rows("schuur-1", "show history")).To(HaveLen(1), "a plan changes nothing")
 
 		c.Expect(c.apply(without, "apply-2", 7).GetOutcome()).To(Equal(pb.Outcome_OUTCOME_REFUSED), "expected generation")
-		done := c.apply(without, "apply-2", 1)
+		c.Expect(c.apply(without, "apply-2", 1).GetReason()).To(ContainSubstring("upstream is not draining"))
+		done := c.applyWith(without, "apply-2", 1, true)
 		c.Expect(done.GetOutcome()).To(Equal(pb.Outcome_OUTCOME_COMMITTED))
 		c.Expect(done.GetInForce()).To(HaveLen(6))
 		for _, id := range []string{"apply-2", "apply-3"} {
@@ -75,3 +82,47 @@
 		c.Expect(faulty.GetErrors()).To(ContainElement(MatchRegexp(`^new.yaml:\d+: zones`)))
 	})
 }
+
+// Guards against a removal that breaks established flows without being told to: of an upstream
+// that serves, of one that still has flows, and while a daemon that may hold flows is silent.
+func TestRemovalThatEndsFlowsIsRefused(t *testing.T) {
+	withCluster(t, testcluster.Options{}, func(c operators) {
+		f := c.open("galerij")
+		c.ask(f)
+		name := strings.Split(c.rows("schuur-1", "show flows of "+f.Key().Caller().String())[0], " | ")[2]
+		without := regexp.MustCompile(`(?m)^.*\bname: `+name+`\b.*\n`).ReplaceAllString(string(c.File), "")
+		refused := func(reason string) {
+			r := c.run("schuur-1", "remove upstream "+name, "remove-"+reason)
+			c.Expect(r.GetOutcome()).To(Equal(pb.Outcome_OUTCOME_REFUSED))
+			c.Expect(r.GetReason()).To(ContainSubstring(reason))
+			c.Expect(r.GetReason()).To(ContainSubstring("allowed: "))
+			applied := c.apply(without, "apply-"+reason, 0)
+			c.Expect(applied.GetOutcome()).To(Equal(pb.Outcome_OUTCOME_REFUSED))
+			c.Expect(applied.GetReason()).To(ContainSubstring(reason))
+		}
+		refused("upstream is not draining")
+		c.commit("schuur-1", "drain upstream "+name, "drain-1")
+		time.Sleep(5 * time.Second)
+		refused("has established flows")
+		c.ask(f)
+		f.Close()
+		time.Sleep(time.Second)
+		c.Cluster.Kill("winkel-2")
+		time.Sleep(5 * time.Second)
+		refused("daemons did not answer: winkel-2")
+		c.commit("schuur-1", "remove upstream "+name+" force", "remove-1")
+	})
+}
+
+// Guards against a removal that is refused although nothing is left on the upstream.
+func TestDrainedUpstreamIsRemoved(t *testing.T) {
+	withCluster(t, testcluster.Options{}, func(c operators) {
+		f := c.open("galerij")
+		c.ask(f)
+		name := strings.Split(c.rows("schuur-1", "show flows of "+f.Key().Caller().String())[0], " | ")[2]
+		c.commit("schuur-1", "drain upstream "+name, "drain-1")
+		f.Close()
+		time.Sleep(5 * time.Second)
+		c.commit("schuur-1", "remove upstream "+name, "remove-1")
+	})
+}
--- a/daemon/operatorcommand.go
+++ b/daemon/operatorcommand.go
@@ -37,6 +37,9 @@
 			return nil, overtaken(previous, base.GetGeneration(), err)
 		}
 		base = previous
+		if err == nil && !c.IsForced() {
+			err = s.checkRemovals(ctx, previous, next)
+		}
 		return next, command.Locate(m.GetLine(), previous, err)
 	})
 	s.logChange(m.GetLine(), m.GetAuthor(), m.GetChangeId(), result)
--- a/daemon/operatordeclaration.go
+++ b/daemon/operatordeclaration.go
@@ -59,6 +59,9 @@
 			return nil, err
 		}
 		next, _ := declaration.Build(previous, d, m.GetChangeId(), m.GetAuthor(), at)
+		if !m.GetForce() {
+			return next, s.checkRemovals(ctx, previous, next)
+		}
 		return next, nil
 	})
 	s.logChange("apply "+m.GetFileName(), m.GetAuthor(), m.GetChangeId(), result)
