--- a/command/edit.go
+++ b/command/edit.go
@@ -45,7 +45,7 @@
 func (a *AddUpstream) edit(previous *pb.Configuration, change declaration.Change) (*pb.Configuration, error) {
 	address, err := netip.ParseAddrPort(a.Address)
 	if err != nil {
-		return nil, fmt.Errorf("address %q: %w", a.Address, declaration.ErrInvalidValue)
+		return nil, fmt.Errorf("address %q: %w, allowed IP:PORT", a.Address, declaration.ErrInvalidValue)
 	}
 	slots, err := parseNumber("slots", a.Slots)
 	if err != nil {
--- a/config/declaration/edit.go
+++ b/config/declaration/edit.go
@@ -40,24 +40,24 @@
 		return fmt.Errorf("%w: address %q", ErrInvalidValue, u.Address)
 	}
 	if u.Slots < 1 || u.Slots > maxSlots {
-		return fmt.Errorf("%w: slots %d, allowed 1 to %d", ErrInvalidValue, u.Slots, maxSlots)
+		return fmt.Errorf("%w: slots \"%d\", allowed 1 to %d", ErrInvalidValue, u.Slots, maxSlots)
 	}
 	if u.Weight > maxWeight {
-		return fmt.Errorf("%w: weight %d, allowed 1 to %d", ErrInvalidValue, u.Weight, maxWeight)
+		return fmt.Errorf("%w: weight \"%d\", allowed 1 to %d", ErrInvalidValue, u.Weight, maxWeight)
 	}
 	if findDaemon(c, u.Name) != nil {
 		return fmt.Errorf("%w: daemon %q", ErrDuplicateName, u.Name)
 	}
 	for _, s := range c.GetServices() {
 		if s.GetAddress() == u.Address.String() {
-			return fmt.Errorf("%w: %s of service %s", ErrDuplicateAddress, u.Address, s.GetName())
+			return fmt.Errorf("%w: %q of service %s", ErrDuplicateAddress, u.Address.String(), s.GetName())
 		}
 		for _, other := range s.GetUpstreams() {
 			if other.GetName() == u.Name {
 				return fmt.Errorf("%w: %q in service %s", ErrDuplicateName, u.Name, s.GetName())
 			}
 			if other.GetAddress() == u.Address.String() {
-				return fmt.Errorf("%w: %s of upstream %s", ErrDuplicateAddress, u.Address, other.GetName())
+				return fmt.Errorf("%w: %q of upstream %s", ErrDuplicateAddress, u.Address.String(), other.GetName())
 			}
 		}
 	}
@@ -148,15 +148,17 @@
 func (l Limits) check() error {
 	switch {
 	case l.QueueLength > maxQueueLength:
-		return fmt.Errorf("%w: queue_length %d, allowed 1 to %d", ErrInvalidValue, l.QueueLength, maxQueueLength)
+		return fmt.Errorf("%w: queue_length \"%d\", allowed 1 to %d, or 0 for the default", ErrInvalidValue, l.QueueLength, maxQueueLength)
 	case l.RetryPercent > maxRetryPercent:
-		return fmt.Errorf("%w: retry_percent %d, allowed 1 to %d", ErrInvalidValue, l.RetryPercent, maxRetryPercent)
+		return fmt.Errorf("%w: retry_percent \"%d\", allowed 1 to %d, or 0 for the default", ErrInvalidValue, l.RetryPercent, maxRetryPercent)
 	case l.LoadBoundPercent != 0 && (l.LoadBoundPercent < minLoadBoundPercent || l.LoadBoundPercent > maxLoadBoundPercent):
-		return fmt.Errorf("%w: load_bound_percent %d, allowed %d to %d", ErrInvalidValue, l.LoadBoundPercent, minLoadBoundPercent, maxLoadBoundPercent)
+		return fmt.Errorf("%w: load_bound_percent \"%d\", allowed %d to %d, or 0 for the default", ErrInvalidValue, l.LoadBoundPercent, minLoadBoundPercent, maxLoadBoundPercent)
 	case l.IdleLimit != 0 && (l.IdleLimit < minTimeLimit || l.IdleLimit > maxTimeLimit):
-		return fmt.Errorf("%w: idle_limit %s, allowed %s to %s", ErrInvalidValue, l.IdleLimit, minTimeLimit, maxTimeLimit)
+		return fmt.Errorf("%w: idle_limit \"%d\" ms, allowed %d to %d, or 0 for the default", ErrInvalidValue,
+			l.IdleLimit.Milliseconds(), minTimeLimit.Milliseconds(), maxTimeLimit.Milliseconds())
 	case l.DrainLimit != 0 && (l.DrainLimit < minTimeLimit || l.DrainLimit > maxTimeLimit):
-		return fmt.Errorf("%w: drain_limit %s, allowed %s to %s", ErrInvalidValue, l.DrainLimit, minTimeLimit, maxTimeLimit)
+		return fmt.Errorf("%w: drain_limit \"%d\" ms, allowed %d to %d, or 0 for the default", ErrInvalidValue,
+			l.DrainLimit.Milliseconds(), minTimeLimit.Milliseconds(), maxTimeLimit.Milliseconds())
 	}
 	return nil
 }
