Probe a flow at once when a request waits for it

Cause: a request on a flow under suspicion waited for the next of the three probes, up to 2 s away, also when the upstream answered again. Then a request with a deadline of 1 s ended as not run.

Change: while a request is held back, its flow is probed every 250 ms beside the three probes that end in a verdict.

--- a/request/crowding_test.go
+++ b/request/crowding_test.go
@@ -130,3 +130,25 @@
 		w.g.Expect(w.holder(1).counters.Get("request.slot_lent")).To(BeZero())
 	})
 }
+
+// Guards against a request that waits for the next probe of its flow, seconds away, although the
+// upstream answers again.
+func TestHeldBackRequestGoesOnAtOnce(t *testing.T) {
+	for wait := 100 * time.Millisecond; wait < 3*time.Second; wait += 300 * time.Millisecond {
+		simulate(t, 1, request.Tuning{}, func(w *world) {
+			u := w.upstreams[1]
+			f, other := w.flow(1), w.flow(1)
+			w.g.Expect((<-w.ask(f, "works", false, time.Second)).Status).To(Equal(ok))
+			u.set(func() { u.mute[f.Key()] = true })
+			lost := w.ask(f, "lost", false, time.Second)
+			for end := time.Now().Add(time.Second + wait); time.Now().Before(end); {
+				w.g.Expect((<-w.ask(other, "x", false, time.Second)).Status).To(Equal(ok))
+			}
+			w.g.Expect((<-lost).Status).NotTo(Equal(notRun))
+			u.set(func() { u.mute[f.Key()] = false })
+			r := <-w.ask(f, "again", false, time.Second)
+			w.g.Expect(r.Status).To(Equal(ok), "after %v", wait)
+			w.g.Expect(r.at).To(BeNumerically("<", 300*time.Millisecond), "after %v", wait)
+		})
+	}
+}
--- a/request/probe.go
+++ b/request/probe.go
@@ -19,6 +19,9 @@
 	// lendAfter is far above the time of an acknowledgement. An unanswered probe then tells a
 	// dead flow from a request that runs long.
 	lendAfter = 250 * time.Millisecond
+	// heldBackInterval is the time between two probes of a flow whose requests wait for one to
+	// be answered. Waiting for the next of the three probes would outlast many deadlines.
+	heldBackInterval = 250 * time.Millisecond
 	// referenceInterval is the time between two probes of flows with waiting requests.
 	referenceInterval = 100 * time.Millisecond
 	// maxReferences bounds the flows whose acknowledgement is still kept from the caller.
@@ -33,6 +36,7 @@
 	probes int
 	first  time.Time // of the first probe
 	last   time.Time
+	asked  time.Time // of the last probe for a request that is held back
 	// early is set when a request of the flow was repeated often enough for a probe.
 	early bool
 	// othersAnswer is whether the upstream answered other flows by the second probe.
@@ -101,6 +105,20 @@
 // that another admission handed on is not on a flow of this upstream.
 func (a *admission) isHeldBack(r *record) bool { return !r.spilled && a.isSuspect(r.key.flow) }
 
+// probeHeldBack probes the flows of requests that are held back, beside the probes that end in
+// a verdict, so that they go on as soon as the flow works again.
+func (a *admission) probeHeldBack(t target, now time.Time) {
+	for _, r := range a.queue {
+		if !a.isHeldBack(r) {
+			continue
+		}
+		if w := a.watches[r.key.flow]; now.Sub(w.asked) >= heldBackInterval {
+			w.asked = now
+			a.toUpstream(t.address, a.packet(r.key.flow, pb.Kind_KIND_KEEPALIVE))
+		}
+	}
+}
+
 // waiting returns the number of queued requests that get the next free slots.
 func (a *admission) waiting() int {
 	n := 0
--- a/request/task.go
+++ b/request/task.go
@@ -77,6 +77,7 @@
 	a.repeat(t, now)
 	a.probe(t, now)
 	a.lendSlots(t, now)
+	a.probeHeldBack(t, now)
 	if isElsewhere {
 		a.handBack(now)
 	}
