--- a/steering/kill_test.go
+++ b/steering/kill_test.go
@@ -94,7 +94,7 @@
 					a.give(i, kindOpen)
 				}
 				time.Sleep(2 * time.Minute) // The copies of the release have expired.
-				c.subs = c.subs[1:] // "a" is dead and takes no change.
+				c.subs = c.subs[1:]         // "a" is dead and takes no change.
 				for _, change := range changes {
 					c.declare(change)
 					time.Sleep(time.Second)
