--- a/daemon/declaration_test.go
+++ b/daemon/declaration_test.go
@@ -107,7 +107,7 @@
 		c.ask(f)
 		f.Close()
 		time.Sleep(time.Second)
-		c.Cluster.Kill("winkel-2")
+		c.Kill("winkel-2")
 		time.Sleep(5 * time.Second)
 		refused("daemons did not answer: winkel-2")
 		c.commit("schuur-1", "remove upstream "+name+" force", "remove-1")
--- a/peer/callauth.go
+++ b/peer/callauth.go
@@ -176,13 +176,14 @@
 	proof := request.Header.Get(authHeader)
 	answer := &bufferedAnswer{header: w.Header(), status: http.StatusOK}
 	fields := strings.Split(proof, ".")
-	if len(fields) != 3 || !hmac.Equal([]byte(fields[2]), []byte(requestMAC(v.key, request.URL.Path, fields[0], fields[1], body))) {
+	switch {
+	case len(fields) != 3 || !hmac.Equal([]byte(fields[2]), []byte(requestMAC(v.key, request.URL.Path, fields[0], fields[1], body))):
 		v.counters.Drop("peer_unauthenticated")
 		answer.refuse()
-	} else if v.accept(fields[0], fields[1]) {
+	case v.accept(fields[0], fields[1]):
 		request.Body = io.NopCloser(bytes.NewReader(body))
 		v.next.ServeHTTP(answer, request)
-	} else {
+	default:
 		answer.refuse()
 	}
 	nonce := v.currentNonce()
--- a/request/guard.go
+++ b/request/guard.go
@@ -9,7 +9,7 @@
 const (
 	// recordLife is longer than any retransmission of a request whose deadline is a minute.
 	recordLife = 120 * time.Second
-	// maxRecords bounds the records of one admission to about 16 MB.
+	// maxRecords bounds the records of one admission to about 56 MB.
 	maxRecords = 65536
 	// maxMarks bounds the low-water marks of one admission to about 2 MB.
 	maxMarks = 65536
