--- a/membership/membership.go
+++ b/membership/membership.go
@@ -18,6 +18,8 @@
 	changed chan struct{}
 	// incarnation is the one of self, readable for each datagram without the mutex.
 	incarnation atomic.Uint64
+	// tickedAt is when the timer of Run last went on, nil before Run.
+	tickedAt atomic.Pointer[time.Time]
 
 	subscriberMu sync.Mutex
 	subscribers  []func(previous, current *View)
@@ -29,7 +31,6 @@
 	probes  map[uint32]*probe
 	relayed map[uint32]relay
 	nonce   uint32
-	order   []DaemonID
 	epoch   uint64
 	join    joinState
 	// urgent is set when a change must reach others before the next probes.
@@ -63,7 +64,7 @@
 		probes:  map[uint32]*probe{},
 		relayed: map[uint32]relay{},
 	}
-	m.gossip.add(m.self, 1)
+	m.gossip.add(m.self, 1, time.Time{})
 	m.publish()
 	return m
 }
@@ -96,7 +97,7 @@
 		return
 	}
 	m.self.State = pb.MemberState_MEMBER_STATE_LEAVING
-	m.gossip.add(m.self, m.size())
+	m.gossip.add(m.self, m.size(), time.Time{})
 	m.publish()
 	peers := m.reachable()
 	m.mu.Unlock()
@@ -104,6 +105,29 @@
 	m.announce(peers)
 }
 
+// Rejoin ends a leave: the daemon takes a new incarnation and may own resources again. It does
+// nothing when Leave was not called.
+func (m *Membership) Rejoin() {
+	m.mu.Lock()
+	if m.self.State != pb.MemberState_MEMBER_STATE_LEAVING {
+		m.mu.Unlock()
+		return
+	}
+	m.self.State = pb.MemberState_MEMBER_STATE_ALIVE
+	m.renew(time.Now())
+	m.publish()
+	peers := m.reachable()
+	m.mu.Unlock()
+	m.options.Logger.Info().Str("event", "rejoining").Send()
+	m.announce(peers)
+}
+
+// renew takes a new incarnation and passes it on. m.mu is held.
+func (m *Membership) renew(now time.Time) {
+	m.self.Incarnation = max(m.self.Incarnation+1, uint64(now.UnixNano()))
+	m.gossip.add(m.self, m.size(), time.Time{})
+}
+
 // announce probes the peers at once, so that changes are known within one round trip.
 func (m *Membership) announce(peers []Member) {
 	for _, p := range peers {
--- a/peer/clients.go
+++ b/peer/clients.go
@@ -2,10 +2,6 @@
 
 import (
 	"context"
-	"crypto/hmac"
-	"crypto/sha256"
-	"encoding/hex"
-	"errors"
 	"net/http"
 	"net/netip"
 	"path"
@@ -20,12 +16,6 @@
 	"github.com/fulmarfield/fulmarfield/telemetry"
 )
 
-// ErrUnauthenticated reports a connect call without the proof of the cluster key.
-var ErrUnauthenticated = errors.New("call does not carry the cluster key's proof")
-
-// authHeader carries the proof that the caller knows the cluster key.
-const authHeader = "Fulmar-Peer-Proof"
-
 // ClientSet implements Clients with connect over HTTP/1.1. It keeps one client for each
 // address. Its methods may be called concurrently.
 type ClientSet struct {
@@ -37,14 +27,16 @@
 	clients map[netip.AddrPort]fulmarfieldv1connect.PeerServiceClient
 }
 
-// NewClients returns the clients of the daemons in the view. Calls prove the cluster key and
-// count as control.sent.<procedure> and control.received.<procedure>, with an allowance for
-// headers, and in the budget, which may be nil.
+// NewClients returns the clients of the daemons in the view. Calls prove the cluster key, check
+// that answers do, and count as control.sent.<procedure> and control.received.<procedure>, with an
+// allowance for headers, and in the budget, which may be nil.
 func NewClients(viewer membership.Viewer, httpClient *http.Client, key []byte, counters *telemetry.Counters, budget *Budget) *ClientSet {
+	signing := *httpClient
+	signing.Transport = newSigner(httpClient.Transport, key, counters)
 	return &ClientSet{
 		viewer:      viewer,
-		http:        httpClient,
-		interceptor: clientInterceptor(key, counters, budget),
+		http:        &signing,
+		interceptor: clientInterceptor(counters, budget),
 		clients:     map[netip.AddrPort]fulmarfieldv1connect.PeerServiceClient{},
 	}
 }
@@ -70,10 +62,9 @@
 	return client
 }
 
-func clientInterceptor(key []byte, counters *telemetry.Counters, budget *Budget) connect.Interceptor {
+func clientInterceptor(counters *telemetry.Counters, budget *Budget) connect.Interceptor {
 	return connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
 		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
-			req.Header().Set(authHeader, proof(key, req.Spec().Procedure))
 			name := procedureName(req.Spec().Procedure)
 			CountCall(counters, budget, name, messageBytes(req.Any()))
 			response, err := next(ctx, req)
@@ -85,17 +76,18 @@
 	})
 }
 
-// NewServerInterceptor refuses calls that do not prove the cluster key with
-// CodeUnauthenticated, and counts them as drop.peer_unauthenticated. Other calls count as
-// for NewClients.
-func NewServerInterceptor(key []byte, counters *telemetry.Counters, budget *Budget) connect.Interceptor {
+// NewHandler returns the path and the handler of the connect interface for other daemons. It
+// refuses calls that do not prove the cluster key with CodeUnauthenticated and counts them. Other
+// calls count as for NewClients.
+func NewHandler(service fulmarfieldv1connect.PeerServiceHandler, key []byte, counters *telemetry.Counters, budget *Budget) (string, http.Handler) {
+	path, handler := fulmarfieldv1connect.NewPeerServiceHandler(service,
+		connect.WithInterceptors(serverInterceptor(counters, budget)))
+	return path, newVerifier(handler, key, counters)
+}
+
+func serverInterceptor(counters *telemetry.Counters, budget *Budget) connect.Interceptor {
 	return connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
 		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
-			want := proof(key, req.Spec().Procedure)
-			if !hmac.Equal([]byte(req.Header().Get(authHeader)), []byte(want)) {
-				counters.Drop("peer_unauthenticated")
-				return nil, connect.NewError(connect.CodeUnauthenticated, ErrUnauthenticated)
-			}
 			name := procedureName(req.Spec().Procedure)
 			counters.Add("control.received."+name, int64(messageBytes(req.Any())+CallOverhead))
 			response, err := next(ctx, req)
@@ -107,14 +99,6 @@
 	})
 }
 
-// proof is a bearer token for one procedure. It does not cover the message; a network that
-// others can read needs TLS.
-func proof(key []byte, procedure string) string {
-	mac := hmac.New(sha256.New, key)
-	_, _ = mac.Write([]byte("connect " + procedure))
-	return hex.EncodeToString(mac.Sum(nil))
-}
-
 func procedureName(procedure string) string { return strings.ToLower(path.Base(procedure)) }
 
 func messageBytes(m any) int {
--- a/steering/decide.go
+++ b/steering/decide.go
@@ -145,7 +145,7 @@
 	p.insert(v, h.Flow, r, now.unixMS)
 	if p.successor != "" && !s.replicator.allowUrgent(time.Now()) {
 		s.Counters.Count("exception.over_budget")
-		if placed.byState || v.declared.GetAim() == pb.Aim_AIM_BALANCE {
+		if !s.staysForBudget(p, v, placed) {
 			s.queueBulk(p, h.Flow)
 			return sendTo(r.upstream)
 		}
@@ -159,6 +159,12 @@
 	return decision{action: actionReplicate, wait: w}
 }
 
+// staysForBudget reports whether a diverted flow stays on its bucket's upstream when the budget
+// does not allow to replicate it at once. The caller holds p.mu.
+func (s *Steerer) staysForBudget(p *partition, v *serviceView, placed placement) bool {
+	return p.successor != "" && !placed.byState && v.declared.GetAim() != pb.Aim_AIM_BALANCE
+}
+
 // insert adds a record and queues it for the successor, without waiting, if it needs a
 // replica. The caller holds p.mu.
 func (s *Steerer) insert(p *partition, v *serviceView, flow wire.FlowKey, r record, now instant) {
--- a/steering/replicator.go
+++ b/steering/replicator.go
@@ -133,6 +133,11 @@
 	return r.budget.Take(now, urgentBytes, r.budget.Burst()/urgentReserveDivisor)
 }
 
+// couldUrgent reports the same without taking anything.
+func (r *replicator) couldUrgent(now time.Time) bool {
+	return r.budget.Left(now) >= urgentBytes+r.budget.Burst()/urgentReserveDivisor
+}
+
 // allowSoon reports the same for a new flow in a bucket that changed lately.
 func (r *replicator) allowSoon(now time.Time) bool {
 	return r.budget.Take(now, urgentBytes, r.budget.Burst()/soonReserveDivisor)
