--- a/peer/callauth_test.go
+++ b/peer/callauth_test.go
@@ -31,7 +31,7 @@
 // restart replaces the daemon by one that remembers nothing.
 func (w *wiretap) restart() {
 	w.handler, w.counters = &claimHandler{}, telemetry.NewCounters()
-	_, w.daemon = peer.NewHandler(w.handler, key, w.counters)
+	_, w.daemon = peer.NewHandler(w.handler, key, w.counters, nil)
 }
 
 func (w *wiretap) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
@@ -72,7 +72,7 @@
 		return &membership.View{Members: []membership.Member{{ID: "b", ControlAddress: addr}}}
 	})
 	counters := telemetry.NewCounters()
-	clients := peer.NewClients(viewer, server.Client(), key, counters)
+	clients := peer.NewClients(viewer, server.Client(), key, counters, nil)
 	return w, func() int64 { return counters.Get("retry.peer_nonce") }, func() error {
 		_, err := clients.Claim(t.Context(), "b", &pb.ClaimRequest{Claimer: "a", Resources: []*pb.Resource{{Index: 7}}})
 		return err
--- a/peer/clients.go
+++ b/peer/clients.go
@@ -28,14 +28,15 @@
 }
 
 // NewClients returns the clients of the daemons in the view. Calls prove the cluster key, check
-// that answers do, and count their message bytes as control.sent.<procedure> and control.received.<procedure>.
-func NewClients(viewer membership.Viewer, httpClient *http.Client, key []byte, counters *telemetry.Counters) *ClientSet {
+// that answers do, and count as control.sent.<procedure> and control.received.<procedure>, with an
+// allowance for headers, and in the budget, which may be nil.
+func NewClients(viewer membership.Viewer, httpClient *http.Client, key []byte, counters *telemetry.Counters, budget *Budget) *ClientSet {
 	signing := *httpClient
 	signing.Transport = newSigner(httpClient.Transport, key, counters)
 	return &ClientSet{
 		viewer:      viewer,
 		http:        &signing,
-		interceptor: clientInterceptor(counters),
+		interceptor: clientInterceptor(counters, budget),
 		clients:     map[netip.AddrPort]fulmarfieldv1connect.PeerServiceClient{},
 	}
 }
@@ -61,14 +62,14 @@
 	return client
 }
 
-func clientInterceptor(counters *telemetry.Counters) connect.Interceptor {
+func clientInterceptor(counters *telemetry.Counters, budget *Budget) connect.Interceptor {
 	return connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
 		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
 			name := procedureName(req.Spec().Procedure)
-			counters.Add("control.sent."+name, messageBytes(req.Any()))
+			CountCall(counters, budget, name, messageBytes(req.Any()))
 			response, err := next(ctx, req)
 			if err == nil {
-				counters.Add("control.received."+name, messageBytes(response.Any()))
+				counters.Add("control.received."+name, int64(messageBytes(response.Any())+CallOverhead))
 			}
 			return response, err
 		}
@@ -76,22 +77,22 @@
 }
 
 // NewHandler returns the path and the handler of the connect interface for other daemons. It
-// refuses calls that do not prove the cluster key with CodeUnauthenticated and counts them. The
-// message bytes of other calls count as for NewClients.
-func NewHandler(service fulmarfieldv1connect.PeerServiceHandler, key []byte, counters *telemetry.Counters) (string, http.Handler) {
+// refuses calls that do not prove the cluster key with CodeUnauthenticated and counts them. Other
+// calls count as for NewClients.
+func NewHandler(service fulmarfieldv1connect.PeerServiceHandler, key []byte, counters *telemetry.Counters, budget *Budget) (string, http.Handler) {
 	path, handler := fulmarfieldv1connect.NewPeerServiceHandler(service,
-		connect.WithInterceptors(serverInterceptor(counters)))
+		connect.WithInterceptors(serverInterceptor(counters, budget)))
 	return path, newVerifier(handler, key, counters)
 }
 
-func serverInterceptor(counters *telemetry.Counters) connect.Interceptor {
+func serverInterceptor(counters *telemetry.Counters, budget *Budget) connect.Interceptor {
 	return connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
 		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
 			name := procedureName(req.Spec().Procedure)
-			counters.Add("control.received."+name, messageBytes(req.Any()))
+			counters.Add("control.received."+name, int64(messageBytes(req.Any())+CallOverhead))
 			response, err := next(ctx, req)
 			if err == nil {
-				counters.Add("control.sent."+name, messageBytes(response.Any()))
+				CountCall(counters, budget, name, messageBytes(response.Any()))
 			}
 			return response, err
 		}
@@ -100,9 +101,18 @@
 
 func procedureName(procedure string) string { return strings.ToLower(path.Base(procedure)) }
 
-func messageBytes(m any) int64 {
+func messageBytes(m any) int {
 	if message, ok := m.(proto.Message); ok {
-		return int64(proto.Size(message))
+		return proto.Size(message)
 	}
 	return 0
 }
+
+// CountCall counts one direction of a call with its headers as control.sent.<name> and in the
+// budget, which may be nil.
+func CountCall(counters *telemetry.Counters, budget *Budget, name string, bytes int) {
+	counters.Add("control.sent."+name, int64(bytes+CallOverhead))
+	if budget != nil {
+		budget.Spend(bytes + CallOverhead)
+	}
+}
--- a/steering/explain.go
+++ b/steering/explain.go
@@ -85,6 +85,9 @@
 		return
 	}
 	e.Opens = placed.upstream.number
+	if placed.diverted && s.staysForBudget(p, v, placed) && !s.replicator.couldUrgent(time.Now()) {
+		e.Opens, _ = v.table.upstream(bucketOf(hash))
+	}
 	e.Cause = pb.RouteCause_ROUTE_CAUSE_BUCKET
 	if e.Upstream, ok = p.derived(v, hash, now); !ok {
 		e.Cause = pb.RouteCause_ROUTE_CAUSE_UNSTABLE_BUCKET
