--- a/peer/budget.go
+++ b/peer/budget.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// BudgetBytesPerSecond, with BudgetBurst, bounds the control traffic that a daemon sends. In
+	// BudgetBytesPerSecond is the rate that, with BudgetBurst, bounds the control traffic that a daemon sends. In
 	// any minute that is at most 81,000 + 24,576 bytes, 1,760 bytes a second. The rest of the
 	// 2,000 is for traffic that cannot wait and comes at once, such as claims and pushes of a
 	// configuration: with 1,500 and 16 KB the daemon that hands the admissions of its zone to one that
