Let a former owner vouch only for flows that can have been idle

Cause: the copy of a released partition answered queries by the table of its activation however long ago that was. A flow that the daemon cannot have known, since it was opened later, got the upstream of its bucket: a guess. Change: after the idle limit the copy has no such table, as a partition that is held has none.

--- a/steering/keeper.go
+++ b/steering/keeper.go
@@ -87,7 +87,11 @@
 		}
 		records.Flows = append(records.Flows, f.flowRecord(flow, now.tick))
 	}
-	s.copies.add(r, releasedCopy{flows: p.flows, at: now.tick, view: v, base: p.base, baseAt: p.baseAt})
+	released := releasedCopy{flows: p.flows, at: now.tick, view: v, base: p.base, baseAt: p.baseAt}
+	if !p.isBaseValid(v, now) {
+		released.base = nil
+	}
+	s.copies.add(r, released)
 	return records
 }
 
@@ -142,7 +146,7 @@
 	flows map[wire.FlowKey]record
 	at    uint32
 	// base, at baseAt, tells of flows that were idle while the partition was held here, and so
-	// have no record; view is the last one.
+	// have no record; nil when none can have been idle for so long. view is the last one.
 	view   *serviceView
 	base   *table
 	baseAt instant
@@ -151,7 +155,7 @@
 // derived returns the record of an idle flow, if the base tells its upstream.
 func (c releasedCopy) derived(flow wire.FlowKey) (record, bool) {
 	bucket := bucketOf(flow.Hash())
-	if c.view == nil || c.base == c.view.table || !c.base.stable(bucket, c.baseAt.unixMS, c.view.idleLimit) {
+	if c.base == nil || c.base == c.view.table || !c.base.stable(bucket, c.baseAt.unixMS, c.view.idleLimit) {
 		return record{}, false
 	}
 	number, ok := c.base.upstream(bucket)
--- a/steering/kill_test.go
+++ b/steering/kill_test.go
@@ -146,6 +146,27 @@
 	})
 }
 
+// Guards against a former owner that vouches for a flow that it cannot have known: after the idle
+// limit, each flow of the time of its activation has a record or has ended.
+func TestFormerOwnerDoesNotGuess(t *testing.T) {
+	inCluster(t, trialUpstreams, func(g *WithT, c *cluster, _, b *node) {
+		b.activate(nil, ownership.Fresh)
+		c.declare(drain(4))
+		time.Sleep(11 * time.Minute) // The idle limit is 10 min.
+		next := c.nodes["c"]
+		next.follow("b")
+		next.previous = []membership.DaemonID{"b"}
+		next.activate(b.release(), ownership.Transferred)
+		known := 0
+		for i := range 500 {
+			if _, ok := b.lookup(testService, flowNumber(i)); ok {
+				known++
+			}
+		}
+		g.Expect(known).To(BeZero())
+	})
+}
+
 // give hands the node a packet and does not wait for anything.
 func (n *node) give(i int, kind pb.Kind) {
 	k := flowNumber(i)
--- a/steering/unknown.go
+++ b/steering/unknown.go
@@ -33,14 +33,19 @@
 		return v.table.upstream(bucket)
 	}
 	// At its activation this owner got the records of all other flows, by a transfer or by the
-	// replicas. After the idle limit, flows of that time have sent a packet or have ended.
-	if p.base != nil && now.unixMS-p.baseAt.unixMS < v.idleLimit.Milliseconds() &&
-		p.base.stable(bucket, p.baseAt.unixMS, v.idleLimit) {
+	// replicas.
+	if p.isBaseValid(v, now) && p.base.stable(bucket, p.baseAt.unixMS, v.idleLimit) {
 		return p.base.upstream(bucket)
 	}
 	return 0, false
 }
 
+// isBaseValid reports whether flows of the time of the base may have been idle since then. After
+// the idle limit they have sent a packet or have ended.
+func (p *partition) isBaseValid(v *serviceView, now instant) bool {
+	return p.base != nil && now.unixMS-p.baseAt.unixMS < v.idleLimit.Milliseconds()
+}
+
 // query asks the daemons that may know the flow of a wait. With none to ask, the flow is
 // reset.
 func (s *Steerer) query(w *wait) {
