Take no table from before a service was known

A daemon that takes over its first partition of a service learns of the service at that moment, and took the empty table that came before. When the table changed later, flows without a replica had no upstream to go back to and were reset.

Change: only a table of a declared service counts as a past one.

--- a/steering/kill_test.go
+++ b/steering/kill_test.go
@@ -114,6 +114,29 @@
 	}
 }
 
+// Guards against a successor that takes over its first partition of a service and, when the table
+// changes later, has forgotten the upstreams of the flows that no replica tells of.
+func TestFirstPartitionOfDeadOwner(t *testing.T) {
+	inCluster(t, trialUpstreams, func(g *WithT, c *cluster, a, b *node) {
+		const flows = 500
+		for i := range flows {
+			a.give(i, kindOpen)
+		}
+		time.Sleep(time.Minute)
+		c.subs = c.subs[1:] // "a" is dead and takes no change.
+		b.activate(nil, ownership.Recovered)
+		time.Sleep(time.Minute)
+		c.declare(drain(4))
+		lost := 0
+		for i := range flows {
+			if up, _ := b.packet(i, kindData, 0); up != a.Explain(flowNumber(i)).Upstream {
+				lost++
+			}
+		}
+		g.Expect(lost).To(BeZero())
+	})
+}
+
 // Guards against a loss of flows that were idle while a successor held their partition: it
 // recovered them by an earlier table, has no records of them to hand over, and must tell the next
 // owner when asked.
--- a/steering/service.go
+++ b/steering/service.go
@@ -53,9 +53,13 @@
 	untilMS int64 // Unix time of the replacement
 }
 
-// replaced returns the past tables of the view that follows v.
+// replaced returns the past tables of the view that follows v. The empty table of a service that
+// this daemon did not know before is none: no owner has placed flows by it.
 func (v *serviceView) replaced(nowMS int64) []pastTable {
 	var past []pastTable
+	if v.declared == nil {
+		return nil
+	}
 	for _, p := range append(v.past[:len(v.past):len(v.past)], pastTable{v.table, nowMS}) {
 		if nowMS-p.untilMS < recoveryWindow.Milliseconds() {
 			past = append(past, p)
