Keep what was saved for exceptions when other traffic exceeds the rate

The start of all daemons took what was saved for exceptions and left a debt of up to a minute, so diverted flows had no replica.

Change: other traffic is a debt of its own, of at most 20 s, that the rate pays first. What was saved for exceptions stays.

--- a/daemon/app.go
+++ b/daemon/app.go
@@ -120,7 +120,7 @@
 	)
 }
 
-func newBudget() *peer.Budget { return peer.NewBudget(peer.BudgetBytesPerSecond, peer.BudgetBurst) }
+func newBudget() *peer.Budget { return peer.NewDaemonBudget() }
 
 func newPlatform(s *Settings, counters *telemetry.Counters, budget *peer.Budget) Platform {
 	return MeterPlatform(platform.NewClient(platform.ClientOptions{
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -107,7 +107,7 @@
 // NewNode builds a daemon; Run starts it.
 func NewNode(o Options) *Node {
 	if o.Budget == nil {
-		o.Budget = peer.NewBudget(peer.BudgetBytesPerSecond, peer.BudgetBurst)
+		o.Budget = peer.NewDaemonBudget()
 	}
 	n := &Node{self: o.Self, store: o.Store, peerConn: o.PeerConn, counters: o.Counters, logger: o.Logger, budget: o.Budget}
 	late := lateBinding{n}
--- a/peer/budget.go
+++ b/peer/budget.go
@@ -17,33 +17,44 @@
 	// CallOverhead is an allowance in bytes for the HTTP, TCP and IP headers of one direction
 	// of a call between daemons or to the platform.
 	CallOverhead = 400
-	// debtSeconds bounds the debt of a budget by what it allows in a minute, over which the
-	// limit is meant: exceptions must not wait for minutes after a large transfer.
-	debtSeconds = 60
+	// debtSeconds bounds the debt of a budget by what it allows in this time. With a minute,
+	// exceptions waited so long after the start of all daemons that a kill 35 s later broke 2 %
+	// of the flows of a service with bound 1.05.
+	debtSeconds = 20
 )
 
-// Budget is what a daemon may send as control traffic. All kinds share it. Those that cannot
-// wait (probes, acknowledgements, calls, queries) are only counted and may take it below zero;
-// exceptions and notices are sent when it allows them. Its methods may be called concurrently.
+// Budget is what a daemon may send as control traffic. All kinds share its rate. Those that cannot
+// wait (probes, acknowledgements, calls, queries) are only counted, as a debt that the rate pays
+// first; exceptions and notices are sent when it allows them. What was saved for these is not
+// touched by the others. Its methods may be called concurrently.
 type Budget struct {
 	rate, burst float64
 
 	mu     sync.Mutex
 	tokens float64
+	debt   float64
 	at     time.Time
 }
 
+// NewDaemonBudget returns the budget of a daemon that starts. It is full: with half of it, a kill 35 s
+// after the start of six daemons broke 1 % of the flows, whose exceptions still waited.
+func NewDaemonBudget() *Budget { return NewBudget(BudgetBytesPerSecond, BudgetBurst) }
+
 // NewBudget returns a full budget of bytes a second with a burst in bytes.
 func NewBudget(bytesPerSecond, burst int) *Budget {
 	return &Budget{rate: float64(bytesPerSecond), burst: float64(burst), tokens: float64(burst), at: time.Now()}
 }
 
-// Spend counts bytes that are sent whatever is left.
+// Spend counts bytes that are sent whatever is left. A negative number returns bytes taken.
 func (b *Budget) Spend(bytes int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.refill(time.Now())
-	b.tokens = max(b.tokens-float64(bytes), -debtSeconds*b.rate)
+	if bytes < 0 {
+		b.tokens = min(b.burst, b.tokens-float64(bytes))
+		return
+	}
+	b.debt = min(b.debt+float64(bytes), debtSeconds*b.rate)
 }
 
 // Take counts bytes and returns true if at least reserve bytes are left afterwards. Otherwise
@@ -59,7 +70,7 @@
 	return true
 }
 
-// Left returns the bytes that may be sent now; below zero when too many were sent.
+// Left returns the bytes that may be sent now.
 func (b *Budget) Left(now time.Time) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -72,7 +83,10 @@
 
 func (b *Budget) refill(now time.Time) {
 	if passed := now.Sub(b.at); passed > 0 {
-		b.tokens = min(b.burst, b.tokens+passed.Seconds()*b.rate)
+		credit := passed.Seconds() * b.rate
+		paid := min(b.debt, credit)
+		b.debt -= paid
+		b.tokens = min(b.burst, b.tokens+credit-paid)
 		b.at = now
 	}
 }
