--- a/internal/clustertest/cluster.go
+++ b/internal/clustertest/cluster.go
@@ -261,3 +261,12 @@
 	}
 	return list
 }
+
+// StartAll runs n daemons in three zones at the same time.
+func (c *Cluster) StartAll(n int) []*Daemon {
+	var daemons []*Daemon
+	for i := range n {
+		daemons = append(daemons, c.Start(fmt.Sprintf("z%d", i%3), i+1))
+	}
+	return daemons
+}
--- a/internal/clustertest/cluster_test.go
+++ b/internal/clustertest/cluster_test.go
@@ -1,7 +1,6 @@
 package clustertest_test
 
 import (
-	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,15 +11,6 @@
 	"github.com/fulmarfield/fulmarfield/ownership"
 )
 
-// start runs n daemons in three zones at the same time.
-func start(c *clustertest.Cluster, n int) []*clustertest.Daemon {
-	var daemons []*clustertest.Daemon
-	for i := range n {
-		daemons = append(daemons, c.Start(fmt.Sprintf("z%d", i%3), i+1))
-	}
-	return daemons
-}
-
 // waitSettled returns the time until each resource has exactly one active holder.
 func waitSettled(t *testing.T, c *clustertest.Cluster, limit time.Duration) time.Duration {
 	t.Helper()
@@ -42,7 +32,7 @@
 		c := clustertest.New(1)
 		c.Resources = clustertest.Partitions(2, 15)
 		defer c.StopAll()
-		daemons := start(c, n)
+		daemons := c.StartAll(n)
 		f(NewWithT(t), c, daemons)
 		for _, d := range daemons {
 			if len(d.Keeper.Misuse) > 0 {
--- a/internal/clustertest/daemon.go
+++ b/internal/clustertest/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"strings"
 	"sync"
 
 	"google.golang.org/protobuf/proto"
@@ -269,3 +270,16 @@
 	}
 	return response, nil
 }
+
+// ControlBytes returns the bytes of control traffic that the daemon has sent and received.
+func (d *Daemon) ControlBytes() (sent, received int64) {
+	for name, n := range d.Counters.Snapshot() {
+		if strings.HasPrefix(name, "control.sent.") {
+			sent += n
+		}
+		if strings.HasPrefix(name, "control.received.") {
+			received += n
+		}
+	}
+	return sent, received
+}
--- a/internal/clustertest/fault_test.go
+++ b/internal/clustertest/fault_test.go
@@ -277,7 +277,7 @@
 		c.Resources = clustertest.Partitions(0, 12)
 		c.Zone = func(ownership.Resource) string { return "z1" }
 		defer c.StopAll()
-		daemons := start(c, 6)
+		daemons := c.StartAll(6)
 		waitSettled(t, c, 2*time.Second)
 		time.Sleep(3 * time.Second)
 		for _, r := range c.Resources {
--- a/internal/clustertest/measure_test.go
+++ b/internal/clustertest/measure_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,18 +16,6 @@
 // controlBudget is the limit of control traffic of one daemon in bytes per second.
 const controlBudget = 2000
 
-func controlBytes(d *clustertest.Daemon) (sent, received int64) {
-	for name, n := range d.Counters.Snapshot() {
-		if strings.HasPrefix(name, "control.sent.") {
-			sent += n
-		}
-		if strings.HasPrefix(name, "control.received.") {
-			received += n
-		}
-	}
-	return sent, received
-}
-
 // traffic is control traffic in bytes per second: sent by one daemon on average, and sent and
 // received by the busiest.
 type traffic struct{ average, busiest int64 }
@@ -38,14 +25,14 @@
 	before := make([]int64, len(daemons))
 	all := int64(0)
 	for i, d := range daemons {
-		sent, received := controlBytes(d)
+		sent, received := d.ControlBytes()
 		before[i] = sent + received
 		all -= sent
 	}
 	time.Sleep(time.Duration(seconds) * time.Second)
 	busiest := int64(0)
 	for i, d := range daemons {
-		sent, received := controlBytes(d)
+		sent, received := d.ControlBytes()
 		busiest = max(busiest, (sent+received-before[i])/seconds)
 		all += sent
 	}
@@ -99,7 +86,7 @@
 				c := clustertest.New(seed)
 				c.Resources = clustertest.Partitions(1, 15)
 				defer c.StopAll()
-				daemons := start(c, n)
+				daemons := c.StartAll(n)
 				waitSettled(t, c, 2*time.Second)
 				time.Sleep(3*time.Second + time.Duration(seed)*membership.ProbeInterval/time.Duration(kills))
 				daemons[int(seed)%n].Kill()
--- a/internal/clustertest/property_test.go
+++ b/internal/clustertest/property_test.go
@@ -62,7 +62,7 @@
 	c.Resources = clustertest.Partitions(1, 6)[ownership.PartitionCount-24:]
 	c.Zone = func(r ownership.Resource) string { return fmt.Sprintf("z%d", r.Index%4) }
 	defer c.StopAll()
-	start(c, 5)
+	c.StartAll(5)
 	next := 6
 	time.Sleep(1500 * time.Millisecond)
 	for _, s := range history {
@@ -198,7 +198,7 @@
 		c.Resources = clustertest.Partitions(1, 6)
 		c.SetLoss(0.05)
 		defer c.StopAll()
-		start(c, 6)
+		c.StartAll(6)
 		next := 7
 		random := rand.New(rand.NewPCG(3, 3))
 		for range 6 {
