--- a/config/commit/commit.go
+++ b/config/commit/commit.go
@@ -11,7 +11,7 @@
 	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
 	"github.com/fulmarfield/fulmarfield/config/declaration"
 	"github.com/fulmarfield/fulmarfield/internal/wait"
-	"github.com/fulmarfield/fulmarfield/platform"
+	"github.com/fulmarfield/fulmarfield/store"
 	"github.com/fulmarfield/fulmarfield/telemetry"
 )
 
@@ -68,18 +68,18 @@
 
 // Committer commits changes. Its methods may be called concurrently.
 type Committer struct {
-	store    platform.Store
+	store    store.Store
 	counters *telemetry.Counters
 	loader   *Loader
 }
 
 // New returns a committer.
-func New(store platform.Store, counters *telemetry.Counters) *Committer {
+func New(store store.Store, counters *telemetry.Counters) *Committer {
 	return &Committer{store: store, counters: counters, loader: NewLoader(store)}
 }
 
 // Commit applies one change, as Committer.Commit does, without counters of a process.
-func Commit(ctx context.Context, store platform.Store, changeID string, expectedGeneration uint64, edit Edit) Result {
+func Commit(ctx context.Context, store store.Store, changeID string, expectedGeneration uint64, edit Edit) Result {
 	return New(store, telemetry.NewCounters()).Commit(ctx, changeID, expectedGeneration, edit)
 }
 
@@ -215,14 +215,14 @@
 
 // writeHead makes the conditional update that commits the change.
 func (a *attempt) writeHead(ctx context.Context, w *headWrite) (Result, bool) {
-	_, err := a.store.Put(ctx, HeadKey, w.value, platform.IfVersion(w.over.version))
+	_, err := a.store.Put(ctx, HeadKey, w.value, store.IfVersion(w.over.version))
 	switch {
 	case err == nil:
 		return Result{Outcome: pb.Outcome_OUTCOME_COMMITTED, Generation: w.next.GetGeneration(), Configuration: w.next}, true
-	case errors.Is(err, platform.ErrOutcomeUnknown):
+	case errors.Is(err, store.ErrOutcomeUnknown):
 		a.pending = w
 		return a.retry(retryLost, err)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		// Either another change came first, or an earlier try of this write was applied;
 		// the next read of the head tells.
 		return a.retry(retryConflict, err)
@@ -233,7 +233,7 @@
 
 // writeFailed handles a write that was not applied.
 func (a *attempt) writeFailed(counter string, err error) (Result, bool) {
-	if errors.Is(err, platform.ErrTooLarge) {
+	if errors.Is(err, store.ErrTooLarge) {
 		return refused(0, fmt.Errorf("%w: %w", ErrTooLarge, err)), true
 	}
 	return a.retry(counter, err)
@@ -241,7 +241,7 @@
 
 // retry counts the reason of another try.
 func (a *attempt) retry(counter string, err error) (Result, bool) {
-	if errors.Is(err, platform.ErrRateLimited) {
+	if errors.Is(err, store.ErrRateLimited) {
 		counter = retryRate
 	}
 	a.counters.Count(counter)
--- a/config/commit/commit_test.go
+++ b/config/commit/commit_test.go
@@ -14,8 +14,8 @@
 	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
 	"github.com/fulmarfield/fulmarfield/config/commit"
 	"github.com/fulmarfield/fulmarfield/config/declaration"
-	"github.com/fulmarfield/fulmarfield/platform"
 	standin "github.com/fulmarfield/fulmarfield/standin/platform"
+	"github.com/fulmarfield/fulmarfield/store"
 )
 
 const text = `
@@ -97,32 +97,32 @@
 // Guards against a head that outgrows the control traffic of a watcher as the history fills,
 // a history that grows without bound, and a corrupt head that is taken for an empty one.
 func TestHeadStaysSmallAndIsChecked(t *testing.T) {
-	run(t, func(_ context.Context, g Gomega, _ *standin.Platform, store *standin.Store) {
+	run(t, func(_ context.Context, g Gomega, _ *standin.Platform, objects *standin.Store) {
 		ctx := context.Background()
 		random := rand.New(rand.NewPCG(1, 2))
 		for i := range 300 {
 			id := fmt.Sprintf("%016x", random.Uint64())
-			result := commit.Commit(ctx, store, id, 0, func(previous *pb.Configuration) (*pb.Configuration, error) {
+			result := commit.Commit(ctx, objects, id, 0, func(previous *pb.Configuration) (*pb.Configuration, error) {
 				state := pb.DeclaredState(2 - i%2)
 				return declaration.SetUpstreamState(previous, "", fmt.Sprintf("bindery-%d", i/2%2+1), state, change(id))
 			})
 			g.Expect(result.Outcome).To(Equal(pb.Outcome_OUTCOME_COMMITTED))
 			time.Sleep(time.Second)
 		}
-		history, err := commit.History(ctx, store)
+		history, err := commit.History(ctx, objects)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(history).To(HaveLen(declaration.MaxHistory))
-		o, err := store.Get(ctx, commit.HeadKey)
+		o, err := objects.Get(ctx, commit.HeadKey)
 		g.Expect(err).NotTo(HaveOccurred())
 		t.Logf("head with %d changes: %d bytes", len(history), len(o.Value))
 		g.Expect(len(o.Value)).To(BeNumerically("<", 10_000))
-		_, err = store.Put(ctx, commit.HeadKey, o.Value[:len(o.Value)/2], platform.Always())
+		_, err = objects.Put(ctx, commit.HeadKey, o.Value[:len(o.Value)/2], store.Always())
 		g.Expect(err).NotTo(HaveOccurred())
-		_, err = commit.Load(ctx, store)
+		_, err = commit.Load(ctx, objects)
 		g.Expect(err).To(MatchError(commit.ErrCorrupt))
 		limited, cancel := context.WithTimeout(ctx, time.Second)
 		defer cancel()
-		result := commit.Commit(limited, store, "after", 0, declare("after"))
+		result := commit.Commit(limited, objects, "after", 0, declare("after"))
 		g.Expect(result.Outcome).To(Equal(pb.Outcome_OUTCOME_REFUSED))
 		g.Expect(result.Err).To(MatchError(commit.ErrCorrupt))
 	})
--- a/config/commit/contents.go
+++ b/config/commit/contents.go
@@ -10,7 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
-	"github.com/fulmarfield/fulmarfield/platform"
+	"github.com/fulmarfield/fulmarfield/store"
 )
 
 // maxContentTries bounds the search for a free content generation. Each failed commit may
@@ -65,11 +65,11 @@
 	}
 	for range maxContentTries {
 		key := contentKey(service.GetNumber(), generation)
-		_, err := c.store.Put(ctx, key, value, platform.IfAbsent())
+		_, err := c.store.Put(ctx, key, value, store.IfAbsent())
 		if err == nil {
 			return generation, nil
 		}
-		if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrOutcomeUnknown) {
+		if !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrOutcomeUnknown) {
 			return 0, err
 		}
 		o, readErr := c.store.Get(ctx, key)
@@ -78,14 +78,14 @@
 			return generation, nil
 		case readErr == nil:
 			generation++
-		case errors.Is(readErr, platform.ErrNotFound):
+		case errors.Is(readErr, store.ErrNotFound):
 			// A lost write that is not applied, or an object removed since: the same again.
 			c.counters.Count(retryContent)
 		default:
 			return 0, readErr
 		}
 	}
-	return 0, fmt.Errorf("service %d: %w: %w", service.GetNumber(), platform.ErrUnavailable, errNoFreeContent)
+	return 0, fmt.Errorf("service %d: %w: %w", service.GetNumber(), store.ErrUnavailable, errNoFreeContent)
 }
 
 // overlapping reports whether the changes between base and previous touch what the change
--- a/config/commit/failure_test.go
+++ b/config/commit/failure_test.go
@@ -17,8 +17,8 @@
 	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
 	"github.com/fulmarfield/fulmarfield/config/commit"
 	"github.com/fulmarfield/fulmarfield/config/declaration"
-	"github.com/fulmarfield/fulmarfield/platform"
 	standin "github.com/fulmarfield/fulmarfield/standin/platform"
+	"github.com/fulmarfield/fulmarfield/store"
 	"github.com/fulmarfield/fulmarfield/telemetry"
 )
 
@@ -104,7 +104,7 @@
 	sent     bool
 }
 
-func (s outageAtHead) Put(ctx context.Context, key string, value []byte, c platform.Condition) (platform.Version, error) {
+func (s outageAtHead) Put(ctx context.Context, key string, value []byte, c store.Condition) (store.Version, error) {
 	if key != commit.HeadKey {
 		return s.Store.Put(ctx, key, value, c)
 	}
@@ -136,7 +136,7 @@
 // impatient gives every write up after 500 ms.
 type impatient struct{ *standin.Store }
 
-func (s impatient) Put(ctx context.Context, key string, value []byte, c platform.Condition) (platform.Version, error) {
+func (s impatient) Put(ctx context.Context, key string, value []byte, c store.Condition) (store.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
 	defer cancel()
 	return s.Store.Put(ctx, key, value, c)
@@ -144,12 +144,12 @@
 
 // Guards against a content object of a failed commit that blocks or falsifies later ones.
 func TestContentOfAFailedCommitIsLeftAside(t *testing.T) {
-	run(t, func(ctx context.Context, g Gomega, _ *standin.Platform, store *standin.Store) {
-		_, err := store.Put(ctx, "config/service/1/2", []byte("other"), platform.IfAbsent())
+	run(t, func(ctx context.Context, g Gomega, _ *standin.Platform, objects *standin.Store) {
+		_, err := objects.Put(ctx, "config/service/1/2", []byte("other"), store.IfAbsent())
 		g.Expect(err).NotTo(HaveOccurred())
-		result := commit.Commit(ctx, store, "drain", 0, drain("drain", "bindery", "bindery-1"))
+		result := commit.Commit(ctx, objects, "drain", 0, drain("drain", "bindery", "bindery-1"))
 		g.Expect(result.Outcome).To(Equal(pb.Outcome_OUTCOME_COMMITTED), "%v", result.Err)
-		c, err := commit.Load(ctx, store)
+		c, err := commit.Load(ctx, objects)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(c.GetServices()[0].GetUpstreams()[0].GetState()).To(Equal(pb.DeclaredState_DECLARED_STATE_DRAINING))
 	})
@@ -222,7 +222,7 @@
 	p := standin.New(standin.Options{})
 	server := httptest.NewServer(p.Handler())
 	defer server.Close()
-	client := platform.NewClient(platform.ClientOptions{
+	client := store.NewClient(store.ClientOptions{
 		Address: netip.MustParseAddrPort(server.Listener.Addr().String()), CallTimeout: 300 * time.Millisecond,
 	})
 	defer client.Close()
@@ -312,20 +312,20 @@
 // Guards against a janitor that removes what the head or a commit under way needs, or that
 // goes on after it was paused and another one took over.
 func TestJanitorRemovesOnlyWhatIsNotNeeded(t *testing.T) {
-	run(t, func(ctx context.Context, g Gomega, p *standin.Platform, store *standin.Store) {
+	run(t, func(ctx context.Context, g Gomega, p *standin.Platform, objects *standin.Store) {
 		for i, state := range []pb.DeclaredState{2, 1, 2, 1} {
 			id := fmt.Sprintf("change-%d", i)
-			result := commit.Commit(ctx, store, id, 0, func(previous *pb.Configuration) (*pb.Configuration, error) {
+			result := commit.Commit(ctx, objects, id, 0, func(previous *pb.Configuration) (*pb.Configuration, error) {
 				return declaration.SetUpstreamState(previous, "", "bindery-1", state, change(id))
 			})
 			g.Expect(result.Outcome).To(Equal(pb.Outcome_OUTCOME_COMMITTED))
 		}
-		_, err := store.Put(ctx, "config/service/1/6", []byte("under way"), platform.IfAbsent())
+		_, err := objects.Put(ctx, "config/service/1/6", []byte("under way"), store.IfAbsent())
 		g.Expect(err).NotTo(HaveOccurred())
-		_, err = store.Put(ctx, "config/service/3/1", []byte("under way"), platform.IfAbsent())
+		_, err = objects.Put(ctx, "config/service/3/1", []byte("under way"), store.IfAbsent())
 		g.Expect(err).NotTo(HaveOccurred())
-		paused := commit.NewJanitor(store, "paused", telemetry.NewCounters(), zerolog.Nop())
-		other := commit.NewJanitor(store, "other", telemetry.NewCounters(), zerolog.Nop())
+		paused := commit.NewJanitor(objects, "paused", telemetry.NewCounters(), zerolog.Nop())
+		other := commit.NewJanitor(objects, "other", telemetry.NewCounters(), zerolog.Nop())
 		pausedCtx, resume := context.WithTimeout(context.Background(), 150*time.Millisecond)
 		defer resume()
 		removed, err := paused.Round(pausedCtx)
@@ -340,7 +340,7 @@
 		g.Expect(removed + more).To(Equal(4))
 		_, err = paused.Round(long)
 		g.Expect(err).To(MatchError(commit.ErrLeaseLost))
-		entries, err := store.List(long, "config/service/")
+		entries, err := objects.List(long, "config/service/")
 		g.Expect(err).NotTo(HaveOccurred())
 		var keys []string
 		for _, e := range entries {
--- a/config/commit/janitor.go
+++ b/config/commit/janitor.go
@@ -8,7 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/fulmarfield/fulmarfield/internal/wait"
-	"github.com/fulmarfield/fulmarfield/platform"
+	"github.com/fulmarfield/fulmarfield/store"
 	"github.com/fulmarfield/fulmarfield/telemetry"
 )
 
@@ -24,14 +24,14 @@
 // Janitor removes content objects that no head refers to any more. A failed commit and every
 // replaced content object leave one behind.
 type Janitor struct {
-	store    platform.Store
+	store    store.Store
 	lease    *Lease
 	counters *telemetry.Counters
 	log      zerolog.Logger
 }
 
 // NewJanitor returns a janitor. holder must be unique to this incarnation of the process.
-func NewJanitor(store platform.Store, holder string, counters *telemetry.Counters, log zerolog.Logger) *Janitor {
+func NewJanitor(store store.Store, holder string, counters *telemetry.Counters, log zerolog.Logger) *Janitor {
 	return &Janitor{
 		store: store, lease: NewLease(store, JanitorLeaseKey, holder, janitorTerm), counters: counters, log: log,
 	}
@@ -84,7 +84,7 @@
 // unneeded lists the content objects that no head will refer to. Content generations of a
 // service only rise, so an object below the one in the head is never used again, while one
 // above it may belong to a commit under way.
-func (j *Janitor) unneeded(ctx context.Context) ([]platform.Entry, error) {
+func (j *Janitor) unneeded(ctx context.Context) ([]store.Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, janitorTimeout)
 	defer cancel()
 	entries, err := j.store.List(ctx, contentPrefix)
@@ -96,7 +96,7 @@
 		return nil, err
 	}
 	contents := h.contents()
-	var unneeded []platform.Entry
+	var unneeded []store.Entry
 	for _, e := range entries {
 		service, generation, ok := parseContentKey(e.Key)
 		if !ok {
@@ -112,14 +112,14 @@
 }
 
 // remove confirms the lease and removes the version of one object that was listed.
-func (j *Janitor) remove(ctx context.Context, e platform.Entry) error {
+func (j *Janitor) remove(ctx context.Context, e store.Entry) error {
 	ctx, cancel := context.WithTimeout(ctx, janitorTimeout)
 	defer cancel()
 	if err := j.lease.Confirm(ctx); err != nil {
 		return err
 	}
-	err := j.store.Delete(ctx, e.Key, platform.IfVersion(e.Version))
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	err := j.store.Delete(ctx, e.Key, store.IfVersion(e.Version))
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return errors.Join(ErrUnreachable, err)
 	}
 	return nil
--- a/config/commit/lease.go
+++ b/config/commit/lease.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/fulmarfield/fulmarfield/platform"
+	"github.com/fulmarfield/fulmarfield/store"
 )
 
 // Errors of a lease.
@@ -26,17 +26,17 @@
 // term learns at its next renewal that another one took over. Terms are measured on the
 // clock of the one who waits, so clocks need not agree.
 type Lease struct {
-	store  platform.Store
+	store  store.Store
 	key    string
 	holder string
 	term   time.Duration
 
 	mu    sync.Mutex
-	token platform.Version
+	token store.Version
 	// sequence counts the writes of this holder, to find its own after a lost answer.
 	sequence uint64
 	// seen is the version of another holder, and seenSince when it was first seen.
-	seen      platform.Version
+	seen      store.Version
 	seenSince time.Time
 }
 
@@ -47,12 +47,12 @@
 
 // NewLease returns a lease that is not held. holder must be unique to this incarnation of the
 // process.
-func NewLease(store platform.Store, key, holder string, term time.Duration) *Lease {
+func NewLease(store store.Store, key, holder string, term time.Duration) *Lease {
 	return &Lease{store: store, key: key, holder: holder, term: term}
 }
 
 // Token returns the fencing token, 0 when the lease is not held.
-func (l *Lease) Token() platform.Version {
+func (l *Lease) Token() store.Version {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.token
@@ -68,7 +68,7 @@
 	}
 	o, err := l.store.Get(ctx, l.key)
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		return l.take(ctx, 0)
 	case err != nil:
 		return fmt.Errorf("%w: %w", ErrLeaseUnconfirmed, err)
@@ -102,18 +102,18 @@
 }
 
 // take writes the lease over the given version.
-func (l *Lease) take(ctx context.Context, over platform.Version) error {
+func (l *Lease) take(ctx context.Context, over store.Version) error {
 	l.sequence++
 	value, err := json.Marshal(leaseValue{Holder: l.holder, Sequence: l.sequence})
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrLeaseUnconfirmed, err)
 	}
-	version, err := l.store.Put(ctx, l.key, value, platform.IfVersion(over))
+	version, err := l.store.Put(ctx, l.key, value, store.IfVersion(over))
 	switch {
 	case err == nil:
 		l.token = version
 		return nil
-	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrOutcomeUnknown):
+	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrOutcomeUnknown):
 		return l.readBack(ctx)
 	default:
 		return fmt.Errorf("%w: %w", ErrLeaseUnconfirmed, err)
--- a/config/commit/load.go
+++ b/config/commit/load.go
@@ -10,7 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
-	"github.com/fulmarfield/fulmarfield/platform"
+	"github.com/fulmarfield/fulmarfield/store"
 )
 
 const (
@@ -23,7 +23,7 @@
 // Loader reads configurations and keeps the content objects of the last one, so that a change
 // costs one read for each changed service. Its methods may be called concurrently.
 type Loader struct {
-	store platform.Store
+	store store.Store
 
 	mu    sync.Mutex
 	cache map[uint32]cached
@@ -35,19 +35,19 @@
 }
 
 // NewLoader returns a loader without cached objects.
-func NewLoader(store platform.Store) *Loader {
+func NewLoader(store store.Store) *Loader {
 	return &Loader{store: store, cache: map[uint32]cached{}}
 }
 
 // Load reads the configuration in the store; generation 0 when nothing was ever committed. It
 // returns ErrUnreachable or ErrCorrupt.
-func Load(ctx context.Context, store platform.Store) (*pb.Configuration, error) {
+func Load(ctx context.Context, store store.Store) (*pb.Configuration, error) {
 	return NewLoader(store).Load(ctx)
 }
 
 // History returns the last changes, newest first, at most 256. It returns ErrUnreachable or
 // ErrCorrupt.
-func History(ctx context.Context, store platform.Store) ([]*pb.ChangeRecord, error) {
+func History(ctx context.Context, store store.Store) ([]*pb.ChangeRecord, error) {
 	h, err := readHead(ctx, store)
 	if err != nil {
 		return nil, err
@@ -73,7 +73,7 @@
 }
 
 // FromHead completes the configuration of a head object that a watch returned.
-func (l *Loader) FromHead(ctx context.Context, o platform.Object) (*pb.Configuration, error) {
+func (l *Loader) FromHead(ctx context.Context, o store.Object) (*pb.Configuration, error) {
 	h, err := decodeHead(o)
 	if err != nil {
 		return nil, err
@@ -88,7 +88,7 @@
 	}
 	for attempt := 1; ; attempt++ {
 		c, err := l.fill(ctx, h)
-		if !errors.Is(err, platform.ErrNotFound) || attempt == loadAttempts {
+		if !errors.Is(err, store.ErrNotFound) || attempt == loadAttempts {
 			return h, c, err
 		}
 		if h, err = readHead(ctx, l.store); err != nil {
@@ -100,13 +100,13 @@
 // complete fills a head, or reads a later one when its content objects are gone.
 func (l *Loader) complete(ctx context.Context, h head) (*pb.Configuration, error) {
 	c, err := l.fill(ctx, h)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return l.Load(ctx)
 	}
 	return c, err
 }
 
-// fill returns the configuration of a head. The error is platform.ErrNotFound when a content
+// fill returns the configuration of a head. The error is store.ErrNotFound when a content
 // object was removed since the head was read.
 func (l *Loader) fill(ctx context.Context, h head) (*pb.Configuration, error) {
 	c := proto.CloneOf(h.proto)
@@ -142,7 +142,7 @@
 	}
 	key := contentKey(number, generation)
 	o, err := l.store.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return nil, fmt.Errorf("%w: %w", ErrCorrupt, err)
 	}
 	if err != nil {
--- a/config/commit/objects.go
+++ b/config/commit/objects.go
@@ -16,7 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
-	"github.com/fulmarfield/fulmarfield/platform"
+	"github.com/fulmarfield/fulmarfield/store"
 )
 
 // HeadKey is the key of the head object.
@@ -38,7 +38,7 @@
 // head is the decoded head object. It is stored as a compressed Configuration in which each service has
 // only its number and, as table_generation, the generation of its content object.
 type head struct {
-	version platform.Version
+	version store.Version
 	proto   *pb.Configuration
 }
 
@@ -93,7 +93,7 @@
 	return compressed.Bytes(), nil
 }
 
-func decodeHead(o platform.Object) (head, error) {
+func decodeHead(o store.Object) (head, error) {
 	h := head{version: o.Version, proto: &pb.Configuration{}}
 	r, err := gzip.NewReader(bytes.NewReader(o.Value))
 	if err != nil {
@@ -110,9 +110,9 @@
 }
 
 // readHead returns the head, one of generation 0 when nothing was ever committed.
-func readHead(ctx context.Context, store platform.Store) (head, error) {
-	o, err := store.Get(ctx, HeadKey)
-	if errors.Is(err, platform.ErrNotFound) {
+func readHead(ctx context.Context, objects store.Store) (head, error) {
+	o, err := objects.Get(ctx, HeadKey)
+	if errors.Is(err, store.ErrNotFound) {
 		return head{proto: &pb.Configuration{}}, nil
 	}
 	if err != nil {
--- a/config/relay/relay.go
+++ b/config/relay/relay.go
@@ -19,7 +19,7 @@
 	"github.com/fulmarfield/fulmarfield/config/commit"
 	"github.com/fulmarfield/fulmarfield/membership"
 	"github.com/fulmarfield/fulmarfield/peer"
-	"github.com/fulmarfield/fulmarfield/platform"
+	"github.com/fulmarfield/fulmarfield/store"
 	"github.com/fulmarfield/fulmarfield/telemetry"
 )
 
@@ -27,7 +27,7 @@
 type Options struct {
 	Self     membership.DaemonID
 	Zone     string
-	Store    platform.Store
+	Store    store.Store
 	Viewer   membership.Viewer
 	Clients  peer.Clients
 	Counters *telemetry.Counters
@@ -194,8 +194,8 @@
 
 // called notes the result of a call to the store.
 func (r *Relay) called(err error) {
-	served := err == nil || errors.Is(err, commit.ErrCorrupt) || errors.Is(err, platform.ErrNotFound) ||
-		errors.Is(err, platform.ErrRateLimited)
+	served := err == nil || errors.Is(err, commit.ErrCorrupt) || errors.Is(err, store.ErrNotFound) ||
+		errors.Is(err, store.ErrRateLimited)
 	r.mu.Lock()
 	before := r.contact
 	r.contact = contact{at: time.Now(), reachable: served}
--- a/config/relay/relay_test.go
+++ b/config/relay/relay_test.go
@@ -12,7 +12,7 @@
 	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
 	"github.com/fulmarfield/fulmarfield/config/commit"
 	"github.com/fulmarfield/fulmarfield/membership"
-	"github.com/fulmarfield/fulmarfield/platform"
+	"github.com/fulmarfield/fulmarfield/store"
 )
 
 // Guards against store calls that grow with the fleet, and against changes that take longer
@@ -99,7 +99,7 @@
 			g.Expect(response.GetGeneration()).To(BeEquivalentTo(6))
 			d.OnPeerGeneration("zone-1-1", 1)
 		}
-		_, err = f.operator.Put(f.ctx, commit.HeadKey, oldHead.Value, platform.Always())
+		_, err = f.operator.Put(f.ctx, commit.HeadKey, oldHead.Value, store.Always())
 		g.Expect(err).NotTo(HaveOccurred())
 		time.Sleep(time.Minute)
 		f.mu.Lock()
--- a/config/relay/watch.go
+++ b/config/relay/watch.go
@@ -10,7 +10,7 @@
 
 	"github.com/fulmarfield/fulmarfield/config/commit"
 	"github.com/fulmarfield/fulmarfield/internal/wait"
-	"github.com/fulmarfield/fulmarfield/platform"
+	"github.com/fulmarfield/fulmarfield/store"
 )
 
 const (
@@ -95,7 +95,7 @@
 // watch waits for later versions of the head and puts them in force, until the context ends.
 func (r *Relay) watch(ctx context.Context) {
 	delays := newStoreBackoff()
-	var after platform.Version
+	var after store.Version
 	for ctx.Err() == nil {
 		version, err := r.watchOnce(ctx, after)
 		if err == nil {
@@ -103,7 +103,7 @@
 			delays.Reset()
 			continue
 		}
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, store.ErrNotFound) {
 			after = 0
 		}
 		r.options.Counters.Count("retry.config_watch")
@@ -114,7 +114,7 @@
 }
 
 // watchOnce makes one long poll and returns the version to go on from.
-func (r *Relay) watchOnce(ctx context.Context, after platform.Version) (platform.Version, error) {
+func (r *Relay) watchOnce(ctx context.Context, after store.Version) (store.Version, error) {
 	began := time.Now()
 	o, changed, err := r.options.Store.Watch(ctx, commit.HeadKey, after)
 	if ctx.Err() != nil {
--- a/daemon/app.go
+++ b/daemon/app.go
@@ -19,7 +19,7 @@
 	"github.com/fulmarfield/fulmarfield/api/fulmarfield/v1/fulmarfieldv1connect"
 	"github.com/fulmarfield/fulmarfield/membership"
 	"github.com/fulmarfield/fulmarfield/peer"
-	"github.com/fulmarfield/fulmarfield/platform"
+	"github.com/fulmarfield/fulmarfield/store"
 	"github.com/fulmarfield/fulmarfield/telemetry"
 	"github.com/fulmarfield/fulmarfield/wire"
 )
@@ -123,7 +123,7 @@
 func newBudget() *peer.Budget { return peer.NewDaemonBudget() }
 
 func newPlatform(s *Settings, counters *telemetry.Counters, budget *peer.Budget) Platform {
-	return MeterPlatform(platform.NewClient(platform.ClientOptions{
+	return MeterPlatform(store.NewClient(store.ClientOptions{
 		Address: netip.MustParseAddrPort(s.Platform), LocalAddress: localIP(s.ControlAddress), Counters: counters,
 	}), counters, budget)
 }
--- a/daemon/meter.go
+++ b/daemon/meter.go
@@ -4,14 +4,14 @@
 	"context"
 
 	"github.com/fulmarfield/fulmarfield/peer"
-	"github.com/fulmarfield/fulmarfield/platform"
+	"github.com/fulmarfield/fulmarfield/store"
 	"github.com/fulmarfield/fulmarfield/telemetry"
 )
 
 // Platform is what a daemon uses of the platform.
 type Platform interface {
-	platform.Store
-	platform.VMLister
+	store.Store
+	store.VMLister
 }
 
 // MeterPlatform returns p with each call counted as control.sent.<call> and in the budget, with
@@ -30,32 +30,32 @@
 	peer.CountCall(m.counters, m.budget, call, bytes)
 }
 
-func (m meteredPlatform) Get(ctx context.Context, key string) (platform.Object, error) {
+func (m meteredPlatform) Get(ctx context.Context, key string) (store.Object, error) {
 	m.sent("store_get", len(key))
 	return m.platform.Get(ctx, key)
 }
 
-func (m meteredPlatform) Put(ctx context.Context, key string, value []byte, c platform.Condition) (platform.Version, error) {
+func (m meteredPlatform) Put(ctx context.Context, key string, value []byte, c store.Condition) (store.Version, error) {
 	m.sent("store_put", len(key)+len(value))
 	return m.platform.Put(ctx, key, value, c)
 }
 
-func (m meteredPlatform) Delete(ctx context.Context, key string, c platform.Condition) error {
+func (m meteredPlatform) Delete(ctx context.Context, key string, c store.Condition) error {
 	m.sent("store_delete", len(key))
 	return m.platform.Delete(ctx, key, c)
 }
 
-func (m meteredPlatform) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+func (m meteredPlatform) List(ctx context.Context, prefix string) ([]store.Entry, error) {
 	m.sent("store_list", len(prefix))
 	return m.platform.List(ctx, prefix)
 }
 
-func (m meteredPlatform) Watch(ctx context.Context, key string, after platform.Version) (platform.Object, bool, error) {
+func (m meteredPlatform) Watch(ctx context.Context, key string, after store.Version) (store.Object, bool, error) {
 	m.sent("store_watch", len(key))
 	return m.platform.Watch(ctx, key, after)
 }
 
-func (m meteredPlatform) ListVMs(ctx context.Context) ([]platform.VM, error) {
+func (m meteredPlatform) ListVMs(ctx context.Context) ([]store.VM, error) {
 	m.sent("list_vms", 0)
 	return m.platform.ListVMs(ctx)
 }
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -21,9 +21,9 @@
 	"github.com/fulmarfield/fulmarfield/membership"
 	"github.com/fulmarfield/fulmarfield/ownership"
 	"github.com/fulmarfield/fulmarfield/peer"
-	"github.com/fulmarfield/fulmarfield/platform"
 	"github.com/fulmarfield/fulmarfield/request"
 	"github.com/fulmarfield/fulmarfield/steering"
+	"github.com/fulmarfield/fulmarfield/store"
 	"github.com/fulmarfield/fulmarfield/telemetry"
 	"github.com/fulmarfield/fulmarfield/wire"
 )
@@ -35,7 +35,7 @@
 	Key      []byte
 	DataConn wire.Conn
 	PeerConn wire.Conn
-	Store    platform.Store
+	Store    store.Store
 	// Seeds lists daemons to join: the VM list and the peers of the settings.
 	Seeds func(ctx context.Context) ([]membership.Member, error)
 	// Clients makes the connect clients from the view.
@@ -71,7 +71,7 @@
 	load       *load.Table
 	notices    *noticeQueue
 	budget     *peer.Budget
-	store      platform.Store
+	store      store.Store
 	peerConn   wire.Conn
 	counters   *telemetry.Counters
 	logger     zerolog.Logger
--- a/daemon/operatorgather.go
+++ b/daemon/operatorgather.go
@@ -11,7 +11,7 @@
 	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
 	"github.com/fulmarfield/fulmarfield/config/commit"
 	"github.com/fulmarfield/fulmarfield/membership"
-	"github.com/fulmarfield/fulmarfield/platform"
+	"github.com/fulmarfield/fulmarfield/store"
 )
 
 // census asks the daemons and the platform for one operator's call. What it learns of the
@@ -81,7 +81,7 @@
 // most daemons do not watch the store.
 func (c *census) reachesPlatform(ctx context.Context) bool {
 	_, err := c.n.store.Get(ctx, commit.HeadKey)
-	return err == nil || errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrRateLimited)
+	return err == nil || errors.Is(err, store.ErrNotFound) || errors.Is(err, store.ErrRateLimited)
 }
 
 // roster returns the members to ask and the daemons that cannot be asked but may serve: those
@@ -133,7 +133,7 @@
 	if known {
 		return nil
 	}
-	lister, ok := c.n.store.(platform.VMLister)
+	lister, ok := c.n.store.(store.VMLister)
 	if !ok {
 		return errNoVMList
 	}
@@ -145,7 +145,7 @@
 		c.listed[name] = false
 	}
 	for _, vm := range vms {
-		if vm.Kind == platform.KindDaemon {
+		if vm.Kind == store.KindDaemon {
 			c.listed[vm.Name] = true
 		}
 	}
--- a/daemon/seeds.go
+++ b/daemon/seeds.go
@@ -5,12 +5,12 @@
 	"net/netip"
 
 	"github.com/fulmarfield/fulmarfield/membership"
-	"github.com/fulmarfield/fulmarfield/platform"
+	"github.com/fulmarfield/fulmarfield/store"
 )
 
 // SeedsFrom returns a function that lists daemons to join: those at the given control
 // addresses and those of the platform's VM list, self excepted.
-func SeedsFrom(self membership.DaemonID, peers []netip.AddrPort, vms platform.VMLister) func(context.Context) ([]membership.Member, error) {
+func SeedsFrom(self membership.DaemonID, peers []netip.AddrPort, vms store.VMLister) func(context.Context) ([]membership.Member, error) {
 	return seedLister{self: self, peers: peers, vms: vms}.list
 }
 
@@ -19,7 +19,7 @@
 type seedLister struct {
 	self  membership.DaemonID
 	peers []netip.AddrPort
-	vms   platform.VMLister
+	vms   store.VMLister
 }
 
 func (l seedLister) list(ctx context.Context) ([]membership.Member, error) {
@@ -36,7 +36,7 @@
 	}
 	for _, vm := range vms {
 		id := membership.DaemonID(vm.Name)
-		if vm.Kind != platform.KindDaemon || id == l.self || !vm.ControlAddress.IsValid() {
+		if vm.Kind != store.KindDaemon || id == l.self || !vm.ControlAddress.IsValid() {
 			continue
 		}
 		members = append(members, membership.Member{
--- a/standin/platform/core.go
+++ b/standin/platform/core.go
@@ -1,6 +1,6 @@
 // Package platform is a stand-in for the cloud platform: an object store and a VM list with
 // faults that are switched at run time. It serves HTTP and, for tests in virtual time, the
-// platform.Store interface in memory; both share one core.
+// store.Store interface in memory; both share one core.
 package platform
 
 import (
@@ -15,7 +15,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/fulmarfield/fulmarfield/internal/wait"
-	"github.com/fulmarfield/fulmarfield/platform"
+	"github.com/fulmarfield/fulmarfield/store"
 )
 
 // Rates of the platform, in calls per second.
@@ -43,8 +43,8 @@
 	writes, reads *rate.Limiter
 
 	mu       sync.Mutex
-	objects  map[string]platform.Object
-	revision platform.Version
+	objects  map[string]store.Object
+	revision store.Version
 	waiters  map[string]chan struct{}
 	faults   Faults
 	// faultsChanged is closed when the faults are switched, so that waiting watches notice.
@@ -64,7 +64,7 @@
 	return &Platform{
 		writes:        rate.NewLimiter(rate.Limit(o.WriteRate), o.WriteRate),
 		reads:         rate.NewLimiter(rate.Limit(o.ReadRate), o.ReadRate),
-		objects:       map[string]platform.Object{},
+		objects:       map[string]store.Object{},
 		waiters:       map[string]chan struct{}{},
 		faultsChanged: make(chan struct{}),
 		calls:         map[string]int64{},
@@ -105,7 +105,7 @@
 	}
 	if !limiter.Allow() {
 		p.calls["rate_limited"]++
-		return platform.ErrRateLimited
+		return store.ErrRateLimited
 	}
 	return nil
 }
@@ -144,42 +144,42 @@
 	}
 }
 
-func (p *Platform) get(ctx context.Context, source netip.Addr, key string) (platform.Object, error) {
+func (p *Platform) get(ctx context.Context, source netip.Addr, key string) (store.Object, error) {
 	if err := p.begin(ctx, "get", p.reads, source); err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	p.mu.Lock()
 	o, ok := p.objects[key]
 	p.mu.Unlock()
 	if err := p.slowDown(ctx); err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	if !ok {
-		return platform.Object{}, platform.ErrNotFound
+		return store.Object{}, store.ErrNotFound
 	}
 	return o, nil
 }
 
-func (p *Platform) put(ctx context.Context, source netip.Addr, key string, value []byte, c platform.Condition) (platform.Version, error) {
-	return write(ctx, p, func(ctx context.Context) (platform.Version, error) {
+func (p *Platform) put(ctx context.Context, source netip.Addr, key string, value []byte, c store.Condition) (store.Version, error) {
+	return write(ctx, p, func(ctx context.Context) (store.Version, error) {
 		return p.applyPut(ctx, source, key, value, c)
 	})
 }
 
-func (p *Platform) applyPut(ctx context.Context, source netip.Addr, key string, value []byte, c platform.Condition) (platform.Version, error) {
+func (p *Platform) applyPut(ctx context.Context, source netip.Addr, key string, value []byte, c store.Condition) (store.Version, error) {
 	if err := p.begin(ctx, "put", p.writes, source); err != nil {
 		return 0, err
 	}
-	if len(value) > platform.MaxValueBytes {
-		return 0, platform.ErrTooLarge
+	if len(value) > store.MaxValueBytes {
+		return 0, store.ErrTooLarge
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !c.Holds(p.objects[key].Version) {
-		return 0, platform.ErrConflict
+		return 0, store.ErrConflict
 	}
 	p.revision++
-	p.objects[key] = platform.Object{Key: key, Value: append([]byte(nil), value...), Version: p.revision}
+	p.objects[key] = store.Object{Key: key, Value: append([]byte(nil), value...), Version: p.revision}
 	p.wake(key)
 	if p.faults.loseAnswer() {
 		return 0, errAnswerLost
@@ -187,14 +187,14 @@
 	return p.revision, nil
 }
 
-func (p *Platform) remove(ctx context.Context, source netip.Addr, key string, c platform.Condition) error {
+func (p *Platform) remove(ctx context.Context, source netip.Addr, key string, c store.Condition) error {
 	_, err := write(ctx, p, func(ctx context.Context) (struct{}, error) {
 		return struct{}{}, p.applyRemove(ctx, source, key, c)
 	})
 	return err
 }
 
-func (p *Platform) applyRemove(ctx context.Context, source netip.Addr, key string, c platform.Condition) error {
+func (p *Platform) applyRemove(ctx context.Context, source netip.Addr, key string, c store.Condition) error {
 	if err := p.begin(ctx, "delete", p.writes, source); err != nil {
 		return err
 	}
@@ -202,10 +202,10 @@
 	defer p.mu.Unlock()
 	o, ok := p.objects[key]
 	if !ok {
-		return platform.ErrNotFound
+		return store.ErrNotFound
 	}
 	if !c.Holds(o.Version) {
-		return platform.ErrConflict
+		return store.ErrConflict
 	}
 	p.revision++
 	delete(p.objects, key)
@@ -216,16 +216,16 @@
 	return nil
 }
 
-func (p *Platform) list(ctx context.Context, source netip.Addr, prefix string) ([]platform.Entry, error) {
+func (p *Platform) list(ctx context.Context, source netip.Addr, prefix string) ([]store.Entry, error) {
 	if err := p.begin(ctx, "list", p.reads, source); err != nil {
 		return nil, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	entries := []platform.Entry{}
+	entries := []store.Entry{}
 	for key, o := range p.objects {
 		if strings.HasPrefix(key, prefix) {
-			entries = append(entries, platform.Entry{Key: key, Version: o.Version})
+			entries = append(entries, store.Entry{Key: key, Version: o.Version})
 		}
 	}
 	sort.Slice(entries, func(i, j int) bool { return entries[i].Key < entries[j].Key })
@@ -233,9 +233,9 @@
 }
 
 // watch waits for a version of key later than after, for at most wait.
-func (p *Platform) watch(ctx context.Context, source netip.Addr, key string, after platform.Version, wait time.Duration) (platform.Object, bool, error) {
+func (p *Platform) watch(ctx context.Context, source netip.Addr, key string, after store.Version, wait time.Duration) (store.Object, bool, error) {
 	if err := p.begin(ctx, "watch", p.reads, source); err != nil {
-		return platform.Object{}, false, err
+		return store.Object{}, false, err
 	}
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
@@ -243,7 +243,7 @@
 		p.mu.Lock()
 		if err := p.faults.refusal(source); err != nil {
 			p.mu.Unlock()
-			return platform.Object{}, false, err
+			return store.Object{}, false, err
 		}
 		o, ok := p.objects[key]
 		changed, faults := p.waiter(key), p.faultsChanged
@@ -252,13 +252,13 @@
 			return o, true, nil
 		}
 		if !ok && after != 0 {
-			return platform.Object{}, false, platform.ErrNotFound
+			return store.Object{}, false, store.ErrNotFound
 		}
 		select {
 		case <-ctx.Done():
-			return platform.Object{}, false, ctx.Err()
+			return store.Object{}, false, ctx.Err()
 		case <-deadline.C:
-			return platform.Object{}, false, nil
+			return store.Object{}, false, nil
 		case <-changed:
 		case <-faults:
 		}
--- a/standin/platform/deployment.go
+++ b/standin/platform/deployment.go
@@ -4,7 +4,7 @@
 	"net/netip"
 
 	"github.com/fulmarfield/fulmarfield/config/declaration"
-	"github.com/fulmarfield/fulmarfield/platform"
+	"github.com/fulmarfield/fulmarfield/store"
 )
 
 // Ports of a daemon in the published deployments.
@@ -20,16 +20,16 @@
 		if !daemon.Address.IsValid() {
 			continue
 		}
-		p.PutVM(platform.VM{
-			Name: daemon.Name, Kind: platform.KindDaemon, Zone: daemon.Zone, State: platform.StateLive,
+		p.PutVM(store.VM{
+			Name: daemon.Name, Kind: store.KindDaemon, Zone: daemon.Zone, State: store.StateLive,
 			PeerAddress:    netip.AddrPortFrom(daemon.Address, PeerPort),
 			ControlAddress: netip.AddrPortFrom(daemon.Address, ControlPort),
 			DataAddress:    netip.AddrPortFrom(daemon.Address, DataPort),
 		})
 	}
 	for _, u := range d.Upstreams {
-		p.PutVM(platform.VM{
-			Name: u.Name, Kind: platform.KindUpstream, Zone: u.Zone, State: platform.StateLive,
+		p.PutVM(store.VM{
+			Name: u.Name, Kind: store.KindUpstream, Zone: u.Zone, State: store.StateLive,
 			DataAddress: u.Address,
 		})
 	}
--- a/standin/platform/handler.go
+++ b/standin/platform/handler.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"github.com/fulmarfield/fulmarfield/platform"
+	"github.com/fulmarfield/fulmarfield/store"
 )
 
 // Admin paths of the stand-in. They are not subject to faults and are not counted.
@@ -28,11 +28,11 @@
 // /v1/objects?prefix=, /v1/vms, and the admin paths.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+platform.PathObjects+"/{key...}", p.serveGet)
-	mux.HandleFunc("PUT "+platform.PathObjects+"/{key...}", p.servePut)
-	mux.HandleFunc("DELETE "+platform.PathObjects+"/{key...}", p.serveDelete)
-	mux.HandleFunc("GET "+platform.PathObjects, p.serveList)
-	mux.HandleFunc("GET "+platform.PathVMs, p.serveVMs)
+	mux.HandleFunc("GET "+store.PathObjects+"/{key...}", p.serveGet)
+	mux.HandleFunc("PUT "+store.PathObjects+"/{key...}", p.servePut)
+	mux.HandleFunc("DELETE "+store.PathObjects+"/{key...}", p.serveDelete)
+	mux.HandleFunc("GET "+store.PathObjects, p.serveList)
+	mux.HandleFunc("GET "+store.PathVMs, p.serveVMs)
 	mux.HandleFunc("GET "+PathFaults, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Faults()) })
 	mux.HandleFunc("PUT "+PathFaults, p.serveSetFaults)
 	mux.HandleFunc("GET "+PathCalls, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Calls()) })
@@ -54,14 +54,14 @@
 	wait := waitPreference(r.Header.Get("Prefer"))
 	if tag == "" || wait == 0 {
 		o, err := p.get(r.Context(), source(r), key)
-		if err == nil && tag != "" && platform.ParseETag(tag) == o.Version {
+		if err == nil && tag != "" && store.ParseETag(tag) == o.Version {
 			w.WriteHeader(http.StatusNotModified)
 			return
 		}
 		writeObject(w, o, err)
 		return
 	}
-	o, changed, err := p.watch(r.Context(), source(r), key, platform.ParseETag(tag), wait)
+	o, changed, err := p.watch(r.Context(), source(r), key, store.ParseETag(tag), wait)
 	if err == nil && !changed {
 		w.WriteHeader(http.StatusNotModified)
 		return
@@ -70,10 +70,10 @@
 }
 
 func (p *Platform) servePut(w http.ResponseWriter, r *http.Request) {
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValueBytes))
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, store.MaxValueBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		respondError(w, platform.ErrTooLarge)
+		respondError(w, store.ErrTooLarge)
 		return
 	}
 	if err != nil {
@@ -90,7 +90,7 @@
 		respondError(w, err)
 		return
 	}
-	w.Header().Set("ETag", platform.FormatETag(version))
+	w.Header().Set("ETag", store.FormatETag(version))
 	w.WriteHeader(http.StatusNoContent)
 }
 
@@ -135,7 +135,7 @@
 }
 
 func (p *Platform) servePutVM(w http.ResponseWriter, r *http.Request) {
-	var vm platform.VM
+	var vm store.VM
 	if !readJSON(w, r, &vm) {
 		return
 	}
@@ -145,7 +145,7 @@
 }
 
 func readJSON(w http.ResponseWriter, r *http.Request, v any) bool {
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, platform.MaxValueBytes))
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, store.MaxValueBytes))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(v); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -160,12 +160,12 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-func writeObject(w http.ResponseWriter, o platform.Object, err error) {
+func writeObject(w http.ResponseWriter, o store.Object, err error) {
 	if err != nil {
 		respondError(w, err)
 		return
 	}
-	w.Header().Set("ETag", platform.FormatETag(o.Version))
+	w.Header().Set("ETag", store.FormatETag(o.Version))
 	w.Header().Set("Content-Type", "application/octet-stream")
 	_, _ = w.Write(o.Value)
 }
@@ -176,36 +176,36 @@
 	switch {
 	case errors.Is(err, errAnswerLost), errors.Is(err, errCut):
 		panic(http.ErrAbortHandler)
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		http.Error(w, err.Error(), http.StatusNotFound)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		http.Error(w, err.Error(), http.StatusPreconditionFailed)
-	case errors.Is(err, platform.ErrRateLimited):
+	case errors.Is(err, store.ErrRateLimited):
 		http.Error(w, err.Error(), http.StatusTooManyRequests)
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, store.ErrTooLarge):
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 	default:
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	}
 }
 
-func condition(r *http.Request) (platform.Condition, error) {
+func condition(r *http.Request) (store.Condition, error) {
 	match, none := r.Header.Get("If-Match"), r.Header.Get("If-None-Match")
 	switch {
 	case match != "" && none != "":
-		return platform.Condition{}, errors.New("both If-Match and If-None-Match are given")
+		return store.Condition{}, errors.New("both If-Match and If-None-Match are given")
 	case none == "*":
-		return platform.IfAbsent(), nil
+		return store.IfAbsent(), nil
 	case none != "":
-		return platform.Condition{}, errors.New("If-None-Match of a write must be *")
+		return store.Condition{}, errors.New("If-None-Match of a write must be *")
 	case match == "":
-		return platform.Always(), nil
+		return store.Always(), nil
 	}
-	version := platform.ParseETag(match)
+	version := store.ParseETag(match)
 	if version == 0 {
-		return platform.Condition{}, errors.New("If-Match is not one entity tag of this store")
+		return store.Condition{}, errors.New("If-Match is not one entity tag of this store")
 	}
-	return platform.IfVersion(version), nil
+	return store.IfVersion(version), nil
 }
 
 // waitPreference returns the long poll that a Prefer header asks for, 0 for none.
--- a/standin/platform/handler_test.go
+++ b/standin/platform/handler_test.go
@@ -14,8 +14,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/fulmarfield/fulmarfield/config/declaration"
-	"github.com/fulmarfield/fulmarfield/platform"
 	standin "github.com/fulmarfield/fulmarfield/standin/platform"
+	"github.com/fulmarfield/fulmarfield/store"
 )
 
 func call(p *standin.Platform, method, path, body string) *httptest.ResponseRecorder {
@@ -33,10 +33,10 @@
 	g.Expect(p.Faults()).To(Equal(standin.Faults{
 		Outage: true, Delay: time.Millisecond, LoseNext: 3, Cut: []netip.Prefix{netip.MustParsePrefix("127.0.2.0/24")},
 	}))
-	g.Expect(call(p, http.MethodGet, platform.PathObjects+"/key", "").Code).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(call(p, http.MethodGet, store.PathObjects+"/key", "").Code).To(Equal(http.StatusServiceUnavailable))
 	g.Expect(call(p, http.MethodPut, standin.PathFaults, `{"outtage":true}`).Code).To(Equal(http.StatusBadRequest))
 	g.Expect(call(p, http.MethodPut, standin.PathFaults, `{}`).Code).To(Equal(http.StatusNoContent))
-	g.Expect(call(p, http.MethodGet, platform.PathObjects+"/key", "").Code).To(Equal(http.StatusNotFound))
+	g.Expect(call(p, http.MethodGet, store.PathObjects+"/key", "").Code).To(Equal(http.StatusNotFound))
 	var calls map[string]int64
 	g.Expect(json.Unmarshal(call(p, http.MethodGet, standin.PathCalls, "").Body.Bytes(), &calls)).To(Succeed())
 	g.Expect(calls).To(Equal(map[string]int64{"get": 2}))
@@ -63,7 +63,7 @@
 			g.Expect(vm.PeerAddress.String()).To(Equal("127.1.2.2:7001"))
 			g.Expect(vm.ControlAddress.String()).To(Equal("127.1.2.2:7002"))
 		case "tay-d-1":
-			g.Expect(vm.State).To(Equal(platform.StateLeaving))
+			g.Expect(vm.State).To(Equal(store.StateLeaving))
 		case "sheet-print-1":
 			g.Expect(vm.DataAddress.String()).To(Equal("127.1.1.55:9000"))
 		}
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -7,14 +7,14 @@
 	"net/netip"
 	"time"
 
-	"github.com/fulmarfield/fulmarfield/platform"
+	"github.com/fulmarfield/fulmarfield/store"
 )
 
 // DefaultWatchWait is the length of a long poll of the in-memory store.
 const DefaultWatchWait = 25 * time.Second
 
 // Store is the platform without HTTP, as seen from one source address. It implements
-// platform.Store and platform.VMLister and suits tests in virtual time.
+// store.Store and store.VMLister and suits tests in virtual time.
 type Store struct {
 	platform  *Platform
 	source    netip.Addr
@@ -22,8 +22,8 @@
 }
 
 var (
-	_ platform.Store    = (*Store)(nil)
-	_ platform.VMLister = (*Store)(nil)
+	_ store.Store    = (*Store)(nil)
+	_ store.VMLister = (*Store)(nil)
 )
 
 // Store returns the in-memory client for callers at a source address.
@@ -31,37 +31,37 @@
 	return &Store{platform: p, source: source, watchWait: DefaultWatchWait}
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(ctx context.Context, key string) (platform.Object, error) {
+// Get implements store.Store.
+func (s *Store) Get(ctx context.Context, key string) (store.Object, error) {
 	o, err := s.platform.get(ctx, s.source, key)
 	return o, readError("get", key, err)
 }
 
-// Put implements platform.Store.
-func (s *Store) Put(ctx context.Context, key string, value []byte, c platform.Condition) (platform.Version, error) {
+// Put implements store.Store.
+func (s *Store) Put(ctx context.Context, key string, value []byte, c store.Condition) (store.Version, error) {
 	v, err := s.platform.put(ctx, s.source, key, value, c)
 	return v, writeError("put", key, err)
 }
 
-// Delete implements platform.Store.
-func (s *Store) Delete(ctx context.Context, key string, c platform.Condition) error {
+// Delete implements store.Store.
+func (s *Store) Delete(ctx context.Context, key string, c store.Condition) error {
 	return writeError("delete", key, s.platform.remove(ctx, s.source, key, c))
 }
 
-// List implements platform.Store.
-func (s *Store) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+// List implements store.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]store.Entry, error) {
 	entries, err := s.platform.list(ctx, s.source, prefix)
 	return entries, readError("list", prefix, err)
 }
 
-// Watch implements platform.Store.
-func (s *Store) Watch(ctx context.Context, key string, after platform.Version) (platform.Object, bool, error) {
+// Watch implements store.Store.
+func (s *Store) Watch(ctx context.Context, key string, after store.Version) (store.Object, bool, error) {
 	o, changed, err := s.platform.watch(ctx, s.source, key, after, s.watchWait)
 	return o, changed, readError("watch", key, err)
 }
 
-// ListVMs implements platform.VMLister.
-func (s *Store) ListVMs(ctx context.Context) ([]platform.VM, error) {
+// ListVMs implements store.VMLister.
+func (s *Store) ListVMs(ctx context.Context) ([]store.VM, error) {
 	vms, err := s.platform.listVMs(ctx, s.source)
 	return vms, readError("list", "VMs", err)
 }
@@ -71,14 +71,14 @@
 		return nil
 	}
 	if isFault(err) {
-		return fmt.Errorf("%s %s: %w: %w", call, key, platform.ErrUnavailable, err)
+		return fmt.Errorf("%s %s: %w: %w", call, key, store.ErrUnavailable, err)
 	}
 	return fmt.Errorf("%s %s: %w", call, key, err)
 }
 
 func writeError(call, key string, err error) error {
 	if errors.Is(err, errAnswerLost) {
-		return fmt.Errorf("%s %s: %w: %w", call, key, platform.ErrOutcomeUnknown, err)
+		return fmt.Errorf("%s %s: %w: %w", call, key, store.ErrOutcomeUnknown, err)
 	}
 	return readError(call, key, err)
 }
--- a/standin/platform/vms.go
+++ b/standin/platform/vms.go
@@ -6,7 +6,7 @@
 	"sort"
 	"time"
 
-	"github.com/fulmarfield/fulmarfield/platform"
+	"github.com/fulmarfield/fulmarfield/store"
 )
 
 // vmList keeps every VM with the times of its changes, so that a lag can be applied at the
@@ -17,20 +17,20 @@
 
 type vmEntry struct {
 	// previous is what a lagging list still shows; its zero value means nothing.
-	previous, current platform.VM
+	previous, current store.VM
 	removed           bool
 	changedAt         time.Time
 }
 
 // PutVM adds or changes a VM.
-func (p *Platform) PutVM(vm platform.VM) {
+func (p *Platform) PutVM(vm store.VM) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.vms.entries == nil {
 		p.vms.entries = map[string]*vmEntry{}
 	}
 	if vm.State == "" {
-		vm.State = platform.StateLive
+		vm.State = store.StateLive
 	}
 	e, ok := p.vms.entries[vm.Name]
 	if !ok {
@@ -51,7 +51,7 @@
 	}
 }
 
-func (e *vmEntry) shown(now time.Time, joinLag, leaveLag time.Duration) (platform.VM, bool) {
+func (e *vmEntry) shown(now time.Time, joinLag, leaveLag time.Duration) (store.VM, bool) {
 	lag := joinLag
 	if e.removed {
 		lag = leaveLag
@@ -63,13 +63,13 @@
 	return vm, vm.Name != ""
 }
 
-func (p *Platform) listVMs(ctx context.Context, source netip.Addr) ([]platform.VM, error) {
+func (p *Platform) listVMs(ctx context.Context, source netip.Addr) ([]store.VM, error) {
 	if err := p.begin(ctx, "vms", p.reads, source); err != nil {
 		return nil, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	vms := []platform.VM{}
+	vms := []store.VM{}
 	for _, e := range p.vms.entries {
 		if vm, ok := e.shown(time.Now(), p.faults.JoinLag, p.faults.LeaveLag); ok {
 			vms = append(vms, vm)
--- a/platform/platform.go
+++ b/store/store.go
@@ -1,6 +1,7 @@
-// Package platform is the client side of the cloud platform that the VMs run on: its object
-// store and its VM list. It owns no state but its counters and connections.
-package platform
+// Package store is the object store that the balancers keep their configuration in, and the list
+// of VMs: the interfaces, and a client in the project's own protocol. It owns no state but its
+// counters and connections.
+package store
 
 import (
 	"context"
--- a/test/testcluster/cluster.go
+++ b/test/testcluster/cluster.go
@@ -24,9 +24,9 @@
 	"github.com/fulmarfield/fulmarfield/daemon"
 	"github.com/fulmarfield/fulmarfield/membership"
 	"github.com/fulmarfield/fulmarfield/peer"
-	"github.com/fulmarfield/fulmarfield/platform"
 	standinplatform "github.com/fulmarfield/fulmarfield/standin/platform"
 	"github.com/fulmarfield/fulmarfield/standin/upstream"
+	"github.com/fulmarfield/fulmarfield/store"
 	"github.com/fulmarfield/fulmarfield/telemetry"
 	"github.com/fulmarfield/fulmarfield/wire"
 	"github.com/fulmarfield/fulmarfield/wire/memnet"
@@ -188,9 +188,9 @@
 		PeerAddress: netip.AddrPortFrom(address, peerPort), ControlAddress: netip.AddrPortFrom(address, controlPort),
 		Incarnation: uint64(time.Now().UnixNano()),
 	}
-	c.Platform.PutVM(platform.VM{
-		Name: name, Kind: platform.KindDaemon, Zone: zone, PeerAddress: member.PeerAddress,
-		ControlAddress: member.ControlAddress, DataAddress: netip.AddrPortFrom(address, dataPort), State: platform.StateLive,
+	c.Platform.PutVM(store.VM{
+		Name: name, Kind: store.KindDaemon, Zone: zone, PeerAddress: member.PeerAddress,
+		ControlAddress: member.ControlAddress, DataAddress: netip.AddrPortFrom(address, dataPort), State: store.StateLive,
 	})
 	log := zerolog.Nop()
 	if c.options.Log != nil {
