--- /dev/null
+++ b/edge/app.go
@@ -0,0 +1,223 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+
+	"github.com/fulmarfield/fulmarfield/catalog"
+	"github.com/fulmarfield/fulmarfield/discovery"
+	"github.com/fulmarfield/fulmarfield/inband"
+	"github.com/fulmarfield/fulmarfield/platform"
+	"github.com/fulmarfield/fulmarfield/store"
+	"github.com/fulmarfield/fulmarfield/telemetry"
+	"github.com/fulmarfield/fulmarfield/wire"
+)
+
+// Exit statuses of the program.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+const (
+	// readHeaderTimeout bounds how long a connection may take to send its request header.
+	readHeaderTimeout = 5 * time.Second
+	// flushTimeout bounds the last write of log lines.
+	flushTimeout = 100 * time.Millisecond
+	// rotationDelay is how long routers may take to notice a daemon that is not ready: two
+	// probes a half second apart, and one on its way.
+	rotationDelay = 1500 * time.Millisecond
+	// quietTime without a packet shows that routers have stopped sending.
+	quietTime = 400 * time.Millisecond
+	// exitMargin is left of the grace time for the end of the process.
+	exitMargin = 700 * time.Millisecond
+	// leavePoll is how often a leaving daemon looks whether packets still come.
+	leavePoll = 100 * time.Millisecond
+)
+
+// atomicTime is a time that several tasks use.
+type atomicTime struct{ nanos atomic.Int64 }
+
+func (a *atomicTime) set(t time.Time) { a.nanos.Store(t.UnixNano()) }
+func (a *atomicTime) get() time.Time  { return time.Unix(0, a.nanos.Load()) }
+
+// Daemon is one running daemon.
+type Daemon struct {
+	settings   *Settings
+	catalog    *catalog.Catalog
+	follower   *discovery.Follower
+	conn       wire.Conn
+	loop       *packetLoop
+	counters   *telemetry.Counters
+	logger     zerolog.Logger
+	isLeaving  atomic.Bool
+	lastPacket atomicTime
+	servers    []*http.Server
+	sockets    []net.Listener
+	failed     chan error
+}
+
+// Main runs the daemon with the given arguments and returns the exit status: 0 after a graceful
+// shutdown, 1 after a failure, 2 for a bad setting.
+func Main(args []string) int {
+	settings, err := ParseSettings(args)
+	if errors.Is(err, ErrHelp) {
+		return exitOK
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	output := newAsyncWriter(os.Stdout)
+	defer output.flush(flushTimeout)
+	logger := newLogger(output, settings.Name, settings.level())
+	var d *Daemon
+	app := fx.New(Module(settings, logger), fx.Populate(&d), fx.NopLogger)
+	if err := app.Start(context.Background()); err != nil {
+		logger.Error().Str("event", eventStopped).Err(err).Send()
+		return exitFailed
+	}
+	status := d.serve(signals, args)
+	if err := app.Stop(context.Background()); err != nil {
+		logger.Warn().Str("event", eventStopped).Err(err).Send()
+	}
+	return status
+}
+
+// Module wires a daemon for fx.
+func Module(settings *Settings, logger zerolog.Logger) fx.Option {
+	return fx.Options(
+		fx.Supply(settings, logger),
+		fx.Provide(
+			telemetry.NewCounters,
+			func() *catalog.Catalog { return catalog.New(time.Now) },
+			func(c *telemetry.Counters) store.Collections {
+				return platform.NewClient(netip.MustParseAddrPort(settings.StoreAddress), c)
+			},
+			func(s store.Collections, c *catalog.Catalog, n *telemetry.Counters) *discovery.Follower {
+				return discovery.NewFollower(discovery.Options{Store: s, Catalog: c, Counters: n, Logger: logger})
+			},
+			newDaemon,
+		),
+		fx.Invoke(runDaemon),
+	)
+}
+
+func newDaemon(s *Settings, c *catalog.Catalog, f *discovery.Follower, n *telemetry.Counters, logger zerolog.Logger) (*Daemon, error) {
+	conn, err := wire.ListenUDP(netip.MustParseAddrPort(s.PacketAddress))
+	if err != nil {
+		return nil, fmt.Errorf("packet-address: %w", err)
+	}
+	d := &Daemon{
+		settings: s, catalog: c, follower: f, conn: conn, counters: n, logger: logger, failed: make(chan error, 4),
+	}
+	d.loop = &packetLoop{
+		conn: conn, catalog: c, counters: n, logger: logger, lastPacket: &d.lastPacket,
+		budget: lineBudget{perSecond: s.LogLines},
+		steerer: inband.NewSteerer(inband.Options{
+			Zone: s.Zone, Catalog: c, Belief: f,
+			Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		}),
+	}
+	for address, handler := range map[string]http.Handler{s.ReadyAddress: d.readyHandler(), s.AdminAddress: d.adminHandler()} {
+		socket, err := net.Listen("tcp4", address)
+		if err != nil {
+			return nil, fmt.Errorf("listen on %s: %w", address, err)
+		}
+		d.sockets = append(d.sockets, socket)
+		d.servers = append(d.servers, &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout})
+	}
+	return d, nil
+}
+
+func runDaemon(lc fx.Lifecycle, d *Daemon) {
+	ctx, cancel := context.WithCancel(context.Background())
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			d.logger.Info().Str("event", eventStarted).Str("zone", d.settings.Zone).Send()
+			for i, server := range d.servers {
+				go func() {
+					if err := server.Serve(d.sockets[i]); !errors.Is(err, http.ErrServerClosed) {
+						d.failed <- fmt.Errorf("serve %s: %w", d.sockets[i].Addr(), err)
+					}
+				}()
+			}
+			go func() {
+				if err := d.follower.Run(ctx); ctx.Err() == nil {
+					d.failed <- fmt.Errorf("follow the store: %w", err)
+				}
+			}()
+			go func() {
+				if err := d.loop.run(ctx); err != nil {
+					d.failed <- err
+				}
+			}()
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			errs := []error{d.conn.Close()}
+			for _, server := range d.servers {
+				errs = append(errs, server.Close())
+			}
+			return errors.Join(errs...)
+		},
+	})
+}
+
+// serve handles signals until the daemon has to end, and returns the exit status.
+func (d *Daemon) serve(signals <-chan os.Signal, args []string) int {
+	watcher := newSettingsWatcher(d.settings, args)
+	check := time.NewTicker(settingsInterval)
+	defer check.Stop()
+	for {
+		select {
+		case err := <-d.failed:
+			d.logger.Error().Str("event", eventStopped).Err(err).Send()
+			return exitFailed
+		case <-check.C:
+			if watcher.hasChanged() {
+				d.reload(watcher, "file changed")
+			}
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				d.reload(watcher, "signal")
+				continue
+			}
+			d.leave(s)
+			return exitOK
+		}
+	}
+}
+
+// leave tells routers to send no more, and carries packets of open flows until they stop coming
+// or the grace time is nearly over.
+func (d *Daemon) leave(s os.Signal) {
+	began := time.Now()
+	d.isLeaving.Store(true)
+	d.logger.Info().Str("event", eventStopping).Str("signal", s.String()).Send()
+	end := began.Add(d.settings.grace() - exitMargin)
+	for now := began; now.Before(end); now = time.Now() {
+		if now.Sub(began) > rotationDelay && now.Sub(d.lastPacket.get()) > quietTime {
+			break
+		}
+		time.Sleep(leavePoll)
+	}
+	d.logger.Info().Str("event", eventStopped).Dur("after_ms", time.Since(began)).Send()
+}
--- /dev/null
+++ b/edge/logging.go
@@ -0,0 +1,93 @@
+package edge
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// queuedLines bounds the memory of lines that wait for a slow reader, about 200 KB.
+const queuedLines = 1024
+
+// Event names of the daemon's own log lines, in the field "event".
+const (
+	eventStarted         = "daemon_started"
+	eventStopping        = "daemon_stopping"
+	eventStopped         = "daemon_stopped"
+	eventReady           = "daemon_ready"
+	eventNotReady        = "daemon_not_ready"
+	eventReloaded        = "settings_reloaded"
+	eventReloadRefused   = "settings_refused"
+	eventRestartNeeded   = "settings_need_restart"
+	eventLinesLeftOut    = "log_lines_left_out"
+	eventFlow            = "flow"
+	eventPacketSendError = "packet_send_failed"
+)
+
+// asyncWriter writes lines in a task of its own and leaves them out when the reader is slow, so
+// that no caller waits for it.
+type asyncWriter struct {
+	lines   chan []byte
+	lost    atomic.Int64
+	done    chan struct{}
+	closing sync.Once
+}
+
+func newAsyncWriter(w io.Writer) *asyncWriter {
+	a := &asyncWriter{lines: make(chan []byte, queuedLines), done: make(chan struct{})}
+	go func() {
+		defer close(a.done)
+		for line := range a.lines {
+			// A reader that went away takes the log with it; the daemon goes on.
+			_, _ = w.Write(line)
+		}
+	}()
+	return a
+}
+
+// Write implements io.Writer and never blocks.
+func (a *asyncWriter) Write(line []byte) (int, error) {
+	select {
+	case a.lines <- append([]byte(nil), line...):
+	default:
+		a.lost.Add(1)
+	}
+	return len(line), nil
+}
+
+// flush writes what is queued for at most the given time. Nothing may be written afterwards.
+func (a *asyncWriter) flush(within time.Duration) {
+	a.closing.Do(func() { close(a.lines) })
+	select {
+	case <-a.done:
+	case <-time.After(within):
+	}
+}
+
+// lineBudget bounds the lines on single flows. It belongs to one task.
+type lineBudget struct {
+	perSecond int
+	second    time.Time
+	used      int
+	leftOut   int64
+}
+
+// take reports whether one more line may be written.
+func (b *lineBudget) take(now time.Time) bool {
+	if now.Sub(b.second) >= time.Second {
+		b.second, b.used = now, 0
+	}
+	if b.used >= b.perSecond {
+		b.leftOut++
+		return false
+	}
+	b.used++
+	return true
+}
+
+func newLogger(w io.Writer, name string, level zerolog.Level) zerolog.Logger {
+	return zerolog.New(w).Level(level).With().Timestamp().Str("daemon", name).Logger()
+}
--- /dev/null
+++ b/edge/packets.go
@@ -0,0 +1,120 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/fulmarfield/fulmarfield/catalog"
+	"github.com/fulmarfield/fulmarfield/inband"
+	"github.com/fulmarfield/fulmarfield/internal/wait"
+	"github.com/fulmarfield/fulmarfield/platform"
+	"github.com/fulmarfield/fulmarfield/telemetry"
+	"github.com/fulmarfield/fulmarfield/wire"
+)
+
+const (
+	// batchSize bounds the packets that are read at once.
+	batchSize = 32
+	// firstStateWait is how long packets may wait in the socket for the first state after a
+	// start. A caller repeats an opening packet after 200 ms and 600 ms and gives up after
+	// 1.4 s, so later ones would be answered in vain.
+	firstStateWait = time.Second
+	// statePoll is how often the first state is looked for, about the time of a store's answer.
+	statePoll = 5 * time.Millisecond
+)
+
+// packetLoop reads packets, has them decided on, and sends them on. It belongs to one task.
+type packetLoop struct {
+	conn     wire.Conn
+	steerer  *inband.Steerer
+	catalog  *catalog.Catalog
+	counters *telemetry.Counters
+	logger   zerolog.Logger
+	budget   lineBudget
+	// out is reused for each datagram to an upstream.
+	out []byte
+	// lastPacket tells a leaving daemon when routers have stopped sending.
+	lastPacket *atomicTime
+}
+
+// run handles packets until the connection is closed.
+func (l *packetLoop) run(ctx context.Context) error {
+	deadline := time.Now().Add(firstStateWait)
+	for !l.catalog.Current().IsComplete() && time.Now().Before(deadline) {
+		if wait.For(ctx, statePoll) != nil {
+			return nil
+		}
+	}
+	batch := make([]wire.Datagram, batchSize)
+	for {
+		n, err := l.conn.ReadBatch(batch)
+		if errors.Is(err, wire.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("read packets: %w", err)
+		}
+		now := time.Now()
+		l.lastPacket.set(now)
+		for _, d := range batch[:n] {
+			l.handle(d.Data, now)
+		}
+	}
+}
+
+func (l *packetLoop) handle(raw []byte, now time.Time) {
+	p, err := platform.ParsePacket(raw)
+	if err != nil {
+		l.counters.Drop("malformed")
+		return
+	}
+	v := l.steerer.Decide(p, now)
+	l.counters.Count(v.Action.String() + "." + v.Reason.String())
+	l.log(p, v, now)
+	switch v.Action {
+	case inband.ActionForward:
+		if p.Opens {
+			platform.SetToken(raw, v.Upstream.Token)
+		}
+		l.out = append(l.out[:0], make([]byte, platform.EnvelopeBytes)...)
+		platform.SetInstance(l.out, v.Upstream.Instance)
+		l.out = append(l.out, raw...)
+		err = l.conn.Send(v.Upstream.Address, l.out)
+	case inband.ActionReset:
+		l.out = platform.AppendReset(l.out[:0], p.Flow, p.Acknowledged)
+		err = l.conn.Send(platform.CallerAddress(p.Flow, l.conn.LocalAddr().Port()), l.out)
+	}
+	if err != nil && !errors.Is(err, wire.ErrClosed) {
+		// A datagram that could not be sent is a lost one; its sender repeats it.
+		l.counters.Drop("send_failed")
+		if l.budget.take(now) {
+			l.logger.Warn().Str("event", eventPacketSendError).Stringer("flow", p.Flow).Err(err).Send()
+		}
+	}
+}
+
+// log writes a line for each decision that starts, ends or loses something; packets of open
+// flows that are simply sent on are only counted.
+func (l *packetLoop) log(p platform.Packet, v inband.Verdict, now time.Time) {
+	if v.Reason == inband.ReasonOpen || !l.budget.take(now) {
+		return
+	}
+	if left := l.budget.leftOut; left > 0 {
+		l.budget.leftOut = 0
+		l.counters.Add("log.left_out", left)
+		l.logger.Warn().Str("event", eventLinesLeftOut).Int64("lines", left).Send()
+	}
+	line := l.logger.Info().Str("event", eventFlow).Stringer("flow", p.Flow).
+		Stringer("action", v.Action).Stringer("reason", v.Reason).Uint32("token", p.Token)
+	if v.Upstream != nil {
+		line = line.Str("upstream", v.Upstream.ID).Str("zone", v.Upstream.Zone)
+	}
+	if c := l.catalog.Current().Config; c != nil {
+		line = line.Int64("generation", c.Version)
+	}
+	line.Send()
+}
--- /dev/null
+++ b/edge/settings.go
@@ -0,0 +1,147 @@
+package edge
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rs/zerolog"
+)
+
+// Settings are flags, environment variables, or lines of the settings file; flags win over the
+// file.
+type Settings struct {
+	File string `long:"settings-file" env:"FULMARFIELD_CONFIG" no-ini:"true" description:"file with settings, one NAME = VALUE a line"`
+
+	Name          string `long:"name" env:"FULMAR_NAME" description:"name of this daemon, unique in the deployment"`
+	Zone          string `long:"zone" env:"FULMAR_ZONE" description:"availability zone of this VM"`
+	PacketAddress string `long:"packet-address" env:"FULMAR_PACKET_ADDRESS" description:"IP:port that routers send packets to (UDP); callers get resets at the same port"`
+	ReadyAddress  string `long:"ready-address" env:"FULMAR_READY_ADDRESS" description:"IP:port that tells routers whether to send packets (TCP)"`
+	AdminAddress  string `long:"admin-address" env:"FULMAR_ADMIN_ADDRESS" description:"IP:port of metrics and state (TCP)"`
+	StoreAddress  string `long:"store-address" env:"FULMAR_STORE_ADDRESS" description:"IP:port of the metadata store (HTTP)"`
+
+	GraceSeconds float64 `long:"grace-seconds" env:"FULMAR_GRACE_SECONDS" default:"6" description:"time from the request to end until the process is killed, 1 to 600 s"`
+	LogLevel     string  `long:"log-level" env:"FULMAR_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"lowest level that is logged"`
+	LogLines     int     `long:"log-lines" env:"FULMAR_LOG_LINES" default:"50" description:"lines a second on single flows, 1 to 100000; further ones are counted"`
+}
+
+// ErrHelp is returned by ParseSettings when help was asked for and printed.
+var ErrHelp = errors.New("help was printed")
+
+// SettingError reports a setting that is not allowed.
+type SettingError struct {
+	// File is empty when the setting is a flag or an environment variable.
+	File    string
+	Setting string
+	Value   string
+	Allowed string
+}
+
+// Error names the place, the setting, the value and what is allowed.
+func (e *SettingError) Error() string {
+	place := "--"
+	if e.File != "" {
+		place = e.File + ": "
+	}
+	return fmt.Sprintf("%s%s: %q is not allowed: %s", place, e.Setting, e.Value, e.Allowed)
+}
+
+// ParseSettings reads the settings file that flags or environment name, then flags and
+// environment, and checks the result. It returns ErrHelp, a *SettingError, or an error that
+// names the file and line or the flag.
+func ParseSettings(args []string) (*Settings, error) {
+	s := &Settings{}
+	parser := flags.NewNamedParser("fulmar-balancer in-band", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Settings", "", s); err != nil {
+		return nil, fmt.Errorf("define settings: %w", err)
+	}
+	if err := parse(parser, args); err != nil {
+		return nil, err
+	}
+	if s.File != "" {
+		if err := flags.NewIniParser(parser).ParseFile(s.File); err != nil {
+			return nil, fmt.Errorf("read settings: %w", err)
+		}
+		// Once more, so that flags win over the file.
+		if err := parse(parser, args); err != nil {
+			return nil, err
+		}
+	}
+	return s, s.check()
+}
+
+func parse(parser *flags.Parser, args []string) error {
+	rest, err := parser.ParseArgs(args)
+	var flagsErr *flags.Error
+	if errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp {
+		_, _ = fmt.Fprintln(os.Stdout, flagsErr.Message)
+		return ErrHelp
+	}
+	if err != nil {
+		return fmt.Errorf("read settings: %w", err)
+	}
+	if len(rest) > 0 {
+		return fmt.Errorf("read settings: unexpected argument %q; only flags are allowed", rest[0])
+	}
+	return nil
+}
+
+func (s *Settings) check() error {
+	for name, value := range map[string]string{"name": s.Name, "zone": s.Zone} {
+		if strings.TrimSpace(value) == "" {
+			return &SettingError{s.File, name, value, "a name"}
+		}
+	}
+	for name, value := range map[string]string{
+		"packet-address": s.PacketAddress, "ready-address": s.ReadyAddress,
+		"admin-address": s.AdminAddress, "store-address": s.StoreAddress,
+	} {
+		address, err := netip.ParseAddrPort(value)
+		if err != nil || !address.Addr().Is4() || address.Port() == 0 {
+			return &SettingError{s.File, name, value, "an IPv4 address and a port from 1 to 65535, as 192.0.2.1:7000"}
+		}
+	}
+	if s.GraceSeconds < 1 || s.GraceSeconds > 600 {
+		return &SettingError{s.File, "grace-seconds", fmt.Sprint(s.GraceSeconds), "1 to 600"}
+	}
+	if s.LogLines < 1 || s.LogLines > 100_000 {
+		return &SettingError{s.File, "log-lines", fmt.Sprint(s.LogLines), "1 to 100000"}
+	}
+	return nil
+}
+
+// needsRestart names the settings that differ between two files and that a running daemon
+// cannot take over.
+func (s *Settings) needsRestart(next *Settings) []string {
+	var names []string
+	a, b := reflect.ValueOf(*s), reflect.ValueOf(*next)
+	for i := range a.NumField() {
+		field := a.Type().Field(i)
+		switch field.Name {
+		case "LogLevel", "LogLines", "GraceSeconds":
+			continue
+		}
+		if !a.Field(i).Equal(b.Field(i)) {
+			names = append(names, field.Tag.Get("long"))
+		}
+	}
+	return names
+}
+
+func (s *Settings) level() zerolog.Level {
+	level, err := zerolog.ParseLevel(s.LogLevel)
+	if err != nil {
+		// check has refused any other value than a level.
+		return zerolog.InfoLevel
+	}
+	return level
+}
+
+func (s *Settings) grace() time.Duration {
+	return time.Duration(s.GraceSeconds * float64(time.Second))
+}
--- /dev/null
+++ b/inband/flow.go
@@ -0,0 +1,62 @@
+package inband
+
+import (
+	"time"
+
+	"github.com/fulmarfield/fulmarfield/catalog"
+	"github.com/fulmarfield/fulmarfield/platform"
+)
+
+// flow is what a daemon has seen of a flow.
+type flow struct {
+	upstream *catalog.Upstream
+	lastSeen time.Time
+	// isOpen is set by the caller's first acknowledgement.
+	isOpen bool
+	// acknowledged is the caller's last acknowledgement: it rises with what it receives.
+	acknowledged uint32
+	// oldest is the first byte of the data that the caller sent since, next the byte after
+	// its last. copies counts retransmissions of the byte at oldest.
+	oldest, next uint32
+	copies       int
+}
+
+// event is what a packet shows of its flow's upstream.
+type event uint8
+
+const (
+	eventNone event = iota
+	eventProgress
+	eventRetransmission
+)
+
+// observe takes a packet of an open flow into account.
+func (f *flow) observe(p platform.Packet, now time.Time) event {
+	f.lastSeen = now
+	seen := eventNone
+	if !f.isOpen || int32(p.Acknowledged-f.acknowledged) > 0 {
+		f.isOpen, f.acknowledged, f.copies = true, p.Acknowledged, 0
+		f.oldest = p.Sequence
+		seen = eventProgress
+	}
+	if p.PayloadBytes == 0 {
+		return seen
+	}
+	end := p.Sequence + uint32(p.PayloadBytes)
+	if f.next == 0 || int32(end-f.next) > 0 {
+		if seen == eventProgress || f.next == 0 {
+			f.oldest = p.Sequence
+		}
+		f.next = end
+		return seen
+	}
+	if seen == eventProgress {
+		return seen
+	}
+	if p.Sequence == f.oldest {
+		f.copies++
+	} else {
+		f.oldest, f.copies = p.Sequence, 1
+	}
+	return eventRetransmission
+}
--- /dev/null
+++ b/inband/steerer.go
@@ -0,0 +1,247 @@
+package inband
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/fulmarfield/fulmarfield/catalog"
+	"github.com/fulmarfield/fulmarfield/placement"
+	"github.com/fulmarfield/fulmarfield/platform"
+	"github.com/fulmarfield/fulmarfield/suspicion"
+	"github.com/fulmarfield/fulmarfield/wire"
+)
+
+const (
+	// silentOpening is how long after an opening packet its caller must have sent something:
+	// its first copy is due after 200 ms.
+	silentOpening = 300 * time.Millisecond
+	// sweepInterval is how often the flow table is looked through for flows to forget.
+	sweepInterval = time.Second
+	// defaultIdle forgets idle flows while no configuration says how long they may be idle.
+	defaultIdle = 15 * time.Second
+	// confirmedWithin is how recently the configuration must have been confirmed before a
+	// caller is told that there is no route: less than the 3 s in which a new one must hold.
+	confirmedWithin = 2 * time.Second
+)
+
+// Belief is how current the daemon's state is.
+type Belief interface {
+	// ConfigConfirmedAt returns when the configuration was last known to be the newest.
+	ConfigConfirmedAt() time.Time
+	// UpstreamsListedSince reports whether a complete list was read that was begun after t. It
+	// may cause one to be read soon.
+	UpstreamsListedSince(t time.Time) bool
+}
+
+// Options are what a Steerer works with.
+type Options struct {
+	Zone    string
+	Catalog interface{ Current() *catalog.Snapshot }
+	Belief  Belief
+	Random  *rand.Rand
+}
+
+// opening is an opening packet whose caller has not been heard again.
+type opening struct {
+	key wire.FlowKey
+	at  time.Time
+}
+
+// Steerer decides on packets. It belongs to one task.
+type Steerer struct {
+	options  Options
+	flows    map[wire.FlowKey]*flow
+	load     map[uint32]int
+	tracker  *suspicion.Tracker
+	openings []opening
+	// unknown holds since when packets have named a token that no list has shown.
+	unknown   map[uint32]time.Time
+	lastSweep time.Time
+	// candidates is reused by each choice.
+	candidates []placement.Candidate
+}
+
+// NewSteerer returns a Steerer that has seen no flow.
+func NewSteerer(o Options) *Steerer {
+	return &Steerer{
+		options: o, flows: map[wire.FlowKey]*flow{}, load: map[uint32]int{},
+		tracker: suspicion.NewTracker(), unknown: map[uint32]time.Time{},
+	}
+}
+
+// Flows returns the number of flows in the table.
+func (s *Steerer) Flows() int { return len(s.flows) }
+
+// Decide returns what to do with a packet.
+func (s *Steerer) Decide(p platform.Packet, now time.Time) Verdict {
+	s.maintain(now)
+	snapshot := s.options.Catalog.Current()
+	switch {
+	case !snapshot.IsComplete():
+		return drop(ReasonNotReady)
+	case p.Opens:
+		return s.open(snapshot, p, now)
+	default:
+		return s.steer(snapshot, p, now)
+	}
+}
+
+// open places a new flow. Copies of an opening packet go to another upstream than the one that
+// did not answer the first.
+func (s *Steerer) open(snapshot *catalog.Snapshot, p platform.Packet, now time.Time) Verdict {
+	isCopy := p.Acknowledged != 0
+	f := s.flows[p.Flow]
+	if f != nil && !f.isOpen {
+		_, ready := snapshot.IsRegistered(f.upstream)
+		if !isCopy && ready {
+			f.lastSeen = now
+			return forward(f.upstream, ReasonPlacedAgain)
+		}
+		if isCopy {
+			s.tracker.OpeningCopied(f.upstream.Token, now)
+		}
+	}
+	route := snapshot.Route(p.Flow.Service())
+	if route == nil {
+		if now.Sub(s.options.Belief.ConfigConfirmedAt()) > confirmedWithin {
+			return drop(ReasonRouteUnconfirmed)
+		}
+		return reset(ReasonNoRoute)
+	}
+	u := s.place(snapshot, route, now)
+	if u == nil {
+		return reset(ReasonNoUpstream)
+	}
+	s.remember(p.Flow, &flow{upstream: u, lastSeen: now})
+	s.openings = append(s.openings, opening{p.Flow, now})
+	if isCopy {
+		return forward(u, ReasonPlacedAgain)
+	}
+	return forward(u, ReasonPlaced)
+}
+
+func (s *Steerer) place(snapshot *catalog.Snapshot, route *catalog.Route, now time.Time) *catalog.Upstream {
+	upstreams := snapshot.Ready(placement.Service(route.Targets, s.options.Random.Float64()))
+	s.candidates = s.candidates[:0]
+	for _, u := range upstreams {
+		s.candidates = append(s.candidates, placement.Candidate{
+			Upstream: u, Flows: s.load[u.Token], IsSuspect: s.tracker.IsSuspect(u.Token, now),
+		})
+	}
+	i := placement.Choose(s.options.Zone, s.candidates, now, s.options.Random.Float64)
+	if i < 0 {
+		return nil
+	}
+	return upstreams[i]
+}
+
+// steer finds the upstream of a flow that is open already.
+func (s *Steerer) steer(snapshot *catalog.Snapshot, p platform.Packet, now time.Time) Verdict {
+	u, fate := snapshot.ByToken(p.Flow.Service(), p.Token, now)
+	switch fate {
+	case catalog.FateUnknown:
+		return s.steerUnknown(p, now)
+	case catalog.FateGone:
+		s.forget(p.Flow)
+		if p.Resets {
+			return drop(ReasonUpstreamGone)
+		}
+		return reset(ReasonUpstreamGone)
+	}
+	f := s.flows[p.Flow]
+	if f == nil || f.upstream.Token != u.Token {
+		f = &flow{upstream: u}
+		s.remember(p.Flow, f)
+	}
+	switch f.observe(p, now) {
+	case eventProgress:
+		s.tracker.Progress(u.Token, now)
+	case eventRetransmission:
+		if s.isDead(snapshot, f, p, now) {
+			s.forget(p.Flow)
+			return reset(ReasonUpstreamDead)
+		}
+	}
+	if p.Finishes || p.Resets {
+		s.forget(p.Flow)
+	}
+	if fate == catalog.FateMissing {
+		return forward(u, ReasonMissingUpstream)
+	}
+	return forward(u, ReasonOpen)
+}
+
+// isDead reports whether a flow is to be ended because its upstream does not answer. Only
+// requests that may be repeated are better off: their callers try again on a new flow.
+func (s *Steerer) isDead(snapshot *catalog.Snapshot, f *flow, p platform.Packet, now time.Time) bool {
+	isDead := s.tracker.Retransmitted(f.upstream.Token, p.Flow.Hash(), f.copies, now)
+	route := snapshot.Route(p.Flow.Service())
+	return isDead && route != nil && route.Kind.IsRepeatable()
+}
+
+// steerUnknown handles a token that the catalog does not have. It may be of an upstream that
+// another daemon learned of earlier, so the caller is told only after a list that was begun
+// later does not show it either.
+func (s *Steerer) steerUnknown(p platform.Packet, now time.Time) Verdict {
+	since, seen := s.unknown[p.Token]
+	if !seen {
+		since = now
+		s.unknown[p.Token] = now
+	}
+	if now.Sub(since) < catalog.LapseGrace || !s.options.Belief.UpstreamsListedSince(since) {
+		return drop(ReasonUnknownToken)
+	}
+	s.forget(p.Flow)
+	if p.Resets {
+		return drop(ReasonUnknownToken)
+	}
+	return reset(ReasonUnknownToken)
+}
+
+func (s *Steerer) remember(key wire.FlowKey, f *flow) {
+	s.forget(key)
+	s.flows[key] = f
+	s.load[f.upstream.Token]++
+}
+
+func (s *Steerer) forget(key wire.FlowKey) {
+	f := s.flows[key]
+	if f == nil {
+		return
+	}
+	delete(s.flows, key)
+	if s.load[f.upstream.Token]--; s.load[f.upstream.Token] <= 0 {
+		delete(s.load, f.upstream.Token)
+	}
+}
+
+// maintain notes openings that stayed without an answer and forgets idle flows.
+func (s *Steerer) maintain(now time.Time) {
+	for len(s.openings) > 0 && now.Sub(s.openings[0].at) > silentOpening {
+		o := s.openings[0]
+		s.openings = s.openings[1:]
+		if f := s.flows[o.key]; f != nil && !f.isOpen && f.lastSeen.Equal(o.at) {
+			s.tracker.OpeningUnanswered(f.upstream.Token, now)
+			s.forget(o.key)
+		}
+	}
+	if now.Sub(s.lastSweep) < sweepInterval {
+		return
+	}
+	s.lastSweep = now
+	idle := defaultIdle
+	if c := s.options.Catalog.Current().Config; c != nil && c.IdleTimeout > 0 {
+		idle = c.IdleTimeout
+	}
+	for key, f := range s.flows {
+		if now.Sub(f.lastSeen) > idle {
+			s.forget(key)
+		}
+	}
+	for token, since := range s.unknown {
+		if now.Sub(since) > defaultIdle {
+			delete(s.unknown, token)
+		}
+	}
+	s.tracker.Forget(func(token uint32) bool { return s.load[token] > 0 || s.tracker.IsSuspect(token, now) })
+}
--- /dev/null
+++ b/inband/verdict.go
@@ -0,0 +1,59 @@
+package inband
+
+import "github.com/fulmarfield/fulmarfield/catalog"
+
+// Action is what happens to a packet.
+type Action uint8
+
+// Actions on a packet.
+const (
+	ActionDrop Action = iota
+	ActionForward
+	// ActionReset answers the caller that the flow has ended.
+	ActionReset
+)
+
+// String returns the action in lower case.
+func (a Action) String() string {
+	return [...]string{"drop", "forward", "reset"}[a]
+}
+
+// Reason says why a packet was handled as it was.
+type Reason uint8
+
+// Reasons of a verdict.
+const (
+	ReasonNone Reason = iota
+	ReasonPlaced
+	ReasonPlacedAgain
+	ReasonOpen
+	ReasonMissingUpstream
+	ReasonNoRoute
+	ReasonRouteUnconfirmed
+	ReasonNoUpstream
+	ReasonUnknownToken
+	ReasonUpstreamGone
+	ReasonUpstreamDead
+	ReasonNotReady
+)
+
+// String returns the reason as counters and log lines name it.
+func (r Reason) String() string {
+	return [...]string{
+		"none", "placed", "placed_again", "open", "missing_upstream", "no_route", "route_unconfirmed",
+		"no_upstream", "unknown_token", "upstream_gone", "upstream_dead", "not_ready",
+	}[r]
+}
+
+// Verdict is the decision on a packet. Upstream is nil unless the packet is forwarded.
+type Verdict struct {
+	Action   Action
+	Reason   Reason
+	Upstream *catalog.Upstream
+}
+
+func drop(r Reason) Verdict  { return Verdict{Action: ActionDrop, Reason: r} }
+func reset(r Reason) Verdict { return Verdict{Action: ActionReset, Reason: r} }
+func forward(u *catalog.Upstream, r Reason) Verdict {
+	return Verdict{Action: ActionForward, Reason: r, Upstream: u}
+}
--- /dev/null
+++ b/store/collection.go
@@ -0,0 +1,51 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// ErrExpired means that the changes since a version are not kept any more; only a new list
+// shows what is there.
+var ErrExpired = errors.New("history of changes is gone")
+
+// Kind names a collection of records.
+type Kind string
+
+// Record is an object of a collection.
+type Record struct {
+	Name    string
+	Version Version
+	Body    []byte
+}
+
+// Listing is all records of a kind. A listing may be read in parts, so that it is no snapshot:
+// every change after AsOf must be watched for.
+type Listing struct {
+	Records []Record
+	AsOf    Version
+}
+
+// Change is a record that was written or, when Deleted is set, removed.
+type Change struct {
+	Record  Record
+	Deleted bool
+}
+
+// Changes are what a watch returned. AsOf is the version to go on from; other kinds' changes
+// raise it too.
+type Changes struct {
+	Changes []Change
+	AsOf    Version
+}
+
+// Collections is a store that keeps records by kind. All methods may be called concurrently;
+// they return errors that wrap the errors of this package, or the context's.
+type Collections interface {
+	// ListKind returns all records of a kind.
+	ListKind(ctx context.Context, kind Kind) (Listing, error)
+	// WatchKind waits at most wait for changes after a version. It returns ErrExpired when
+	// the version is too old. No changes are not proof that there were none.
+	WatchKind(ctx context.Context, kind Kind, after Version, wait time.Duration) (Changes, error)
+}
--- /dev/null
+++ b/suspicion/suspicion.go
@@ -0,0 +1,104 @@
+// Package suspicion judges upstreams by what callers' packets show: copies of opening packets,
+// retransmissions, and progress. Upstreams answer callers directly, so nothing else is seen of
+// them. A Tracker owns the evidence and belongs to one task.
+package suspicion
+
+import "time"
+
+const (
+	// suspectFor keeps new flows away from an upstream that did not answer. It is longer than
+	// the 1.4 s in which a caller gives up opening, so that the second try of the same caller
+	// goes elsewhere.
+	suspectFor = 2500 * time.Millisecond
+	// quietBefore is how long an upstream must show no progress before retransmissions count
+	// against it: longer than a caller's first retransmission after 200 ms.
+	quietBefore = 300 * time.Millisecond
+	// stalledFlows is how many flows must be retransmitted once to stand for one that was
+	// retransmitted twice; a single lost packet makes one flow retransmit once.
+	stalledFlows = 2
+	// CopiesUntilDead is the retransmission, 600 ms after the data was first sent, from which
+	// on a flow counts as dead if its upstream shows no progress on others either.
+	CopiesUntilDead = 2
+	// refusedOpenings is how many openings in a row without any sign from their callers show
+	// an upstream that refuses flows. One may be a caller whose packets changed balancers.
+	refusedOpenings = 2
+)
+
+// record is the evidence on one upstream.
+type record struct {
+	progressAt   time.Time
+	suspectUntil time.Time
+	stalled      map[uint64]struct{}
+	refused      int
+}
+
+// Tracker keeps evidence by upstream token.
+type Tracker struct {
+	records map[uint32]*record
+}
+
+// NewTracker returns a Tracker without evidence.
+func NewTracker() *Tracker { return &Tracker{records: map[uint32]*record{}} }
+
+func (t *Tracker) of(token uint32) *record {
+	r := t.records[token]
+	if r == nil {
+		r = &record{stalled: map[uint64]struct{}{}}
+		t.records[token] = r
+	}
+	return r
+}
+
+// IsSuspect reports whether new flows should avoid an upstream.
+func (t *Tracker) IsSuspect(token uint32, now time.Time) bool {
+	r := t.records[token]
+	return r != nil && now.Before(r.suspectUntil)
+}
+
+// Progress notes that a caller received something from the upstream.
+func (t *Tracker) Progress(token uint32, now time.Time) {
+	r := t.of(token)
+	r.progressAt, r.suspectUntil, r.refused = now, time.Time{}, 0
+	clear(r.stalled)
+}
+
+// OpeningCopied notes that a caller repeated an opening packet that went to the upstream.
+func (t *Tracker) OpeningCopied(token uint32, now time.Time) {
+	t.of(token).suspectUntil = now.Add(suspectFor)
+}
+
+// OpeningUnanswered notes that neither a copy nor an acknowledgement followed an opening packet:
+// the caller was refused, or is gone. It reports whether the upstream became suspect.
+func (t *Tracker) OpeningUnanswered(token uint32, now time.Time) bool {
+	r := t.of(token)
+	r.refused++
+	if r.refused < refusedOpenings {
+		return false
+	}
+	r.refused, r.suspectUntil = 0, now.Add(suspectFor)
+	return true
+}
+
+// Retransmitted notes the copies-th retransmission of the same data on a flow. It reports
+// whether the flow's upstream counts as dead for it.
+func (t *Tracker) Retransmitted(token uint32, flow uint64, copies int, now time.Time) bool {
+	r := t.of(token)
+	r.stalled[flow] = struct{}{}
+	if now.Sub(r.progressAt) <= quietBefore {
+		return false
+	}
+	isDead := copies >= CopiesUntilDead
+	if isDead || len(r.stalled) >= stalledFlows {
+		r.suspectUntil = now.Add(suspectFor)
+	}
+	return isDead
+}
+
+// Forget drops the evidence on upstreams for which keep returns false.
+func (t *Tracker) Forget(keep func(token uint32) bool) {
+	for token := range t.records {
+		if !keep(token) {
+			delete(t.records, token)
+		}
+	}
+}
