Bind tokens to the service address

A daemon that joined after a route had changed its services dropped, then reset, flows to a service that the route had before: it permitted only the route's present services. Ruled out: lapsed entries (the upstreams were registered all the time).

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -17,6 +17,20 @@
 	departedKept = time.Minute
 )
 
+// Fate says what is known of an upstream.
+type Fate uint8
+
+// Fates of an upstream.
+const (
+	// FateUnknown means that no such upstream was ever known here.
+	FateUnknown Fate = iota
+	FateRegistered
+	// FateMissing means that the entry is gone for so short a time that it may come back.
+	FateMissing
+	// FateGone means that the upstream has ended.
+	FateGone
+)
+
 // departed is an upstream that is not registered any more.
 type departed struct {
 	upstream *Upstream
@@ -32,11 +46,9 @@
 	// UpstreamsKnown is false until the first complete list of upstreams.
 	UpstreamsKnown bool
 
-	byToken   map[uint32][]*Upstream
-	ready     map[string][]*Upstream
-	departed  map[uint32][]departed
-	permitted map[netip.AddrPort][]string
-	count     int
+	registered map[uint64]*Upstream
+	ready      map[string][]*Upstream
+	departed   map[uint64]departed
 }
 
 // IsComplete reports whether routes and upstreams are both known.
@@ -54,51 +66,38 @@
 func (s *Snapshot) Ready(service string) []*Upstream { return s.ready[service] }
 
 // Upstreams returns the number of registered upstreams.
-func (s *Snapshot) Upstreams() int { return s.count }
-
-// Fate says what is known of the upstream that a token names.
-type Fate uint8
-
-// Fates of an upstream.
-const (
-	// FateUnknown means that no upstream with the token was ever known here.
-	FateUnknown Fate = iota
-	FateRegistered
-	// FateMissing means that the entry is gone for so short a time that it may come back.
-	FateMissing
-	// FateGone means that the upstream has ended.
-	FateGone
-)
+func (s *Snapshot) Upstreams() int { return len(s.registered) }
 
-// ByToken returns the upstream that a packet to a service address names, if the address ever
-// had a route to the upstream's service, and what is known of it.
-func (s *Snapshot) ByToken(address netip.AddrPort, token uint32, now time.Time) (*Upstream, Fate) {
-	permitted := s.permitted[address]
-	for _, u := range s.byToken[token] {
-		if slices.Contains(permitted, u.Service) {
-			return u, FateRegistered
-		}
+// All calls do for each upstream that is registered or departed.
+func (s *Snapshot) All(do func(u *Upstream)) {
+	for _, u := range s.registered {
+		do(u)
 	}
-	for _, d := range s.departed[token] {
-		if !slices.Contains(permitted, d.upstream.Service) {
-			continue
-		}
-		if d.isCertain || now.Sub(d.since) >= LapseGrace {
-			return d.upstream, FateGone
-		}
-		return d.upstream, FateMissing
+	for _, d := range s.departed {
+		do(d.upstream)
 	}
-	return nil, FateUnknown
 }
 
-// IsRegistered reports whether this incarnation is registered, and whether it takes new flows.
-func (s *Snapshot) IsRegistered(u *Upstream) (registered, ready bool) {
-	for _, v := range s.byToken[u.Token] {
-		if v.ID == u.ID && v.StartedAt == u.StartedAt {
-			return true, v.State == StateReady
-		}
+// Fate returns what is known of an upstream.
+func (s *Snapshot) Fate(key uint64, now time.Time) Fate {
+	if s.registered[key] != nil {
+		return FateRegistered
+	}
+	d, known := s.departed[key]
+	switch {
+	case !known:
+		return FateUnknown
+	case d.isCertain || now.Sub(d.since) >= LapseGrace:
+		return FateGone
+	default:
+		return FateMissing
 	}
-	return false, false
+}
+
+// TakesFlows reports whether an upstream is registered and not draining.
+func (s *Snapshot) TakesFlows(key uint64) bool {
+	u := s.registered[key]
+	return u != nil && u.State == StateReady
 }
 
 // Catalog collects changes and publishes a Snapshot after each. All methods may be called
@@ -108,18 +107,14 @@
 	config    *Configuration
 	upstreams map[string]*Upstream
 	known     bool
-	departed  map[uint32][]departed
-	permitted map[netip.AddrPort][]string
+	departed  map[uint64]departed
 	current   atomic.Pointer[Snapshot]
 	now       func() time.Time
 }
 
 // New returns an empty catalog that reads the time from now.
 func New(now func() time.Time) *Catalog {
-	c := &Catalog{
-		upstreams: map[string]*Upstream{}, departed: map[uint32][]departed{},
-		permitted: map[netip.AddrPort][]string{}, now: now,
-	}
+	c := &Catalog{upstreams: map[string]*Upstream{}, departed: map[uint64]departed{}, now: now}
 	c.current.Store(&Snapshot{})
 	return c
 }
@@ -136,19 +131,6 @@
 		return false
 	}
 	c.config = next
-	permitted := make(map[netip.AddrPort][]string, len(next.Routes))
-	for address, route := range next.Routes {
-		// Open flows stay where they are when a route changes its services, and lose their
-		// upstream when the route is removed.
-		services := slices.Clone(c.permitted[address])
-		for _, t := range route.Targets {
-			if !slices.Contains(services, t.Service) {
-				services = append(services, t.Service)
-			}
-		}
-		permitted[address] = services
-	}
-	c.permitted = permitted
 	c.publish()
 	return true
 }
@@ -188,20 +170,15 @@
 	next := *u
 	next.warmAt = c.now().Add(u.ColdFor)
 	if previous := c.upstreams[u.ID]; previous != nil {
-		if previous.StartedAt != u.StartedAt || previous.Service != u.Service {
+		if previous.Key != u.Key {
 			c.depart(previous, true)
-		} else if next.warmAt.After(previous.warmAt) && !previous.warmAt.IsZero() {
+		} else if next.warmAt.After(previous.warmAt) {
 			// The same registration read again later; its remainder counts from the first time.
 			next.warmAt = previous.warmAt
 		}
 	}
 	c.upstreams[u.ID] = &next
-	c.departed[u.Token] = slices.DeleteFunc(c.departed[u.Token], func(d departed) bool {
-		return d.upstream.ID == u.ID && d.upstream.StartedAt == u.StartedAt
-	})
-	if len(c.departed[u.Token]) == 0 {
-		delete(c.departed, u.Token)
-	}
+	delete(c.departed, u.Key)
 }
 
 func (c *Catalog) remove(id string) {
@@ -212,19 +189,19 @@
 }
 
 func (c *Catalog) depart(u *Upstream, isCertain bool) {
-	c.departed[u.Token] = append(c.departed[u.Token], departed{upstream: u, since: c.now(), isCertain: isCertain})
+	c.departed[u.Key] = departed{upstream: u, since: c.now(), isCertain: isCertain}
 }
 
 // publish makes a new snapshot. The maps of the old one stay as they are.
 func (c *Catalog) publish() {
 	now := c.now()
 	s := &Snapshot{
-		Config: c.config, UpstreamsKnown: c.known, permitted: c.permitted, count: len(c.upstreams),
-		byToken: make(map[uint32][]*Upstream, len(c.upstreams)), ready: map[string][]*Upstream{},
-		departed: make(map[uint32][]departed, len(c.departed)),
+		Config: c.config, UpstreamsKnown: c.known,
+		registered: make(map[uint64]*Upstream, len(c.upstreams)), ready: map[string][]*Upstream{},
+		departed: make(map[uint64]departed, len(c.departed)),
 	}
 	for _, u := range c.upstreams {
-		s.byToken[u.Token] = append(s.byToken[u.Token], u)
+		s.registered[u.Key] = u
 		if u.State == StateReady {
 			s.ready[u.Service] = append(s.ready[u.Service], u)
 		}
@@ -232,35 +209,12 @@
 	for _, list := range s.ready {
 		slices.SortFunc(list, func(a, b *Upstream) int { return strings.Compare(a.ID, b.ID) })
 	}
-	s.dropAmbiguous()
-	for token, list := range c.departed {
-		list = slices.DeleteFunc(slices.Clone(list), func(d departed) bool { return now.Sub(d.since) > departedKept })
-		if len(list) == 0 {
-			delete(c.departed, token)
+	for key, d := range c.departed {
+		if now.Sub(d.since) > departedKept {
+			delete(c.departed, key)
 			continue
 		}
-		s.departed[token] = list
+		s.departed[key] = d
 	}
 	c.current.Store(s)
 }
-
-// dropAmbiguous takes no new flows for an upstream whose token another one of its service has:
-// packets of its flows could not be told apart. The older incarnation keeps the token.
-func (s *Snapshot) dropAmbiguous() {
-	for _, same := range s.byToken {
-		if len(same) < 2 {
-			continue
-		}
-		slices.SortFunc(same, func(a, b *Upstream) int {
-			if a.StartedAt != b.StartedAt {
-				return int(min(max(a.StartedAt-b.StartedAt, -1), 1))
-			}
-			return strings.Compare(a.ID, b.ID)
-		})
-		for i, u := range same {
-			if slices.ContainsFunc(same[:i], func(v *Upstream) bool { return v.Service == u.Service }) {
-				s.ready[u.Service] = slices.DeleteFunc(s.ready[u.Service], func(v *Upstream) bool { return v == u })
-			}
-		}
-	}
-}
--- a/catalog/types.go
+++ b/catalog/types.go
@@ -2,9 +2,10 @@
 
 import (
 	"encoding/binary"
-	"hash/fnv"
 	"net/netip"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // State says whether an upstream takes new flows.
@@ -23,8 +24,8 @@
 	// Instance addresses exactly this upstream in a datagram, so that another one that took
 	// over the address ignores it.
 	Instance uint64
-	// Token is what packets of its flows carry.
-	Token   uint32
+	// Key tells incarnations apart and is the same on all daemons.
+	Key     uint64
 	Service string
 	Address netip.AddrPort
 	Zone    string
@@ -43,18 +44,28 @@
 // IsCold reports whether the upstream is still in its slow start.
 func (u *Upstream) IsCold(now time.Time) bool { return now.Before(u.warmAt) }
 
-// TokenOf returns the token of an incarnation. All daemons compute the same value, and it is
-// never 0, which packets without a token carry.
-func TokenOf(id string, startedAt int64) uint32 {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(id)) // A hash never returns an error.
+// KeyOf returns the key of an incarnation.
+func KeyOf(id string, startedAt int64) uint64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(id) // A hash never returns an error.
 	var b [8]byte
 	binary.BigEndian.PutUint64(b[:], uint64(startedAt))
 	_, _ = h.Write(b[:])
-	if token := h.Sum32(); token != 0 {
-		return token
-	}
-	return 1
+	return h.Sum64()
+}
+
+// Token returns what packets of the upstream's flows to a service address carry. All daemons
+// compute the same value. It is bound to the address, so that the token of a flow to one service
+// names nothing at another service's address, and it is never 0, which packets without a token
+// carry. IDs are not known to callers, so a caller can only guess, with a chance of 1 in 2^32 for
+// each upstream.
+func (u *Upstream) Token(address netip.AddrPort) uint32 {
+	var b [14]byte
+	binary.BigEndian.PutUint64(b[:], u.Key)
+	ip := address.Addr().As4()
+	copy(b[8:], ip[:])
+	binary.BigEndian.PutUint16(b[12:], address.Port())
+	return max(uint32(xxhash.Sum64(b[:])), 1)
 }
 
 // RequestKind says what may be done with a request that failed.
--- a/discovery/belief.go
+++ b/discovery/belief.go
@@ -30,11 +30,14 @@
 	asOf      map[store.Kind]store.Version
 	confirmed map[store.Kind]time.Time
 	listed    map[store.Kind]time.Time
+	// answersSince is when the store began to answer after it had not.
+	answersSince map[store.Kind]time.Time
 }
 
 func newBelief() *belief {
 	return &belief{
 		asOf: map[store.Kind]store.Version{}, confirmed: map[store.Kind]time.Time{}, listed: map[store.Kind]time.Time{},
+		answersSince: map[store.Kind]time.Time{},
 	}
 }
 
@@ -77,9 +80,17 @@
 	return b.confirmed[kind]
 }
 
-// listedAt returns when the last complete list of a kind began.
-func (b *belief) listedAt(kind store.Kind) time.Time {
+// regained notes that the store answers again, or for the first time.
+func (b *belief) regained(kind store.Kind, at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.listed[kind]
+	b.answersSince[kind] = at
+}
+
+// listedAt returns when the last complete list of a kind began, and since when the store has
+// answered for the kind.
+func (b *belief) listedAt(kind store.Kind) (listed, answersSince time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.listed[kind], b.answersSince[kind]
 }
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -27,6 +27,9 @@
 	// settle is the pause after changes, in which more of them gather into one call. It is
 	// small against the 3 s in which a change must hold.
 	settle = 150 * time.Millisecond
+	// minListInterval bounds the lists that packets can cause; a caller repeats its packet
+	// after 200 ms and 600 ms.
+	minListInterval = 300 * time.Millisecond
 	// Back-off of calls that failed. The longest pause leaves a quarter of the 2 s after an
 	// outage in which lapsed upstreams come back.
 	firstBackoff = 50 * time.Millisecond
@@ -76,13 +79,16 @@
 	return f.belief.confirmedAt(platform.KindUpstreams)
 }
 
-// UpstreamsListedSince reports whether a complete list of upstreams was begun after t, and asks
-// for one if not.
+// UpstreamsListedSince reports whether a complete list of upstreams was begun after t and long
+// enough after the store's return for lapsed entries to be back. It asks for one if not.
 func (f *Follower) UpstreamsListedSince(t time.Time) bool {
-	if f.belief.listedAt(platform.KindUpstreams).After(t) {
+	listed, regained := f.belief.listedAt(platform.KindUpstreams)
+	if listed.After(t) && listed.Sub(regained) >= catalog.LapseGrace {
 		return true
 	}
-	f.want(platform.KindUpstreams)
+	if since := min(time.Since(listed), time.Since(regained)-catalog.LapseGrace); since >= minListInterval {
+		f.want(platform.KindUpstreams)
+	}
 	return false
 }
 
@@ -96,12 +102,13 @@
 // follow lists a kind, then watches it for as long as the answers can be believed.
 func (f *Follower) follow(ctx context.Context, kind store.Kind) error {
 	delays := newBackoff()
-	isUp := true
+	isUp := false
 	for ctx.Err() == nil {
 		err := f.list(ctx, kind)
 		for err == nil {
 			if !isUp {
 				isUp = true
+				f.belief.regained(kind, time.Now())
 				f.options.Logger.Info().Str("event", "store_regained").Str("kind", string(kind)).Send()
 			}
 			delays.Reset()
--- a/edge/packets.go
+++ b/edge/packets.go
@@ -78,7 +78,7 @@
 	switch v.Action {
 	case inband.ActionForward:
 		if p.Opens {
-			platform.SetToken(raw, v.Upstream.Token)
+			platform.SetToken(raw, v.Upstream.Token(p.Flow.Service()))
 		}
 		l.out = append(l.out[:0], make([]byte, platform.EnvelopeBytes)...)
 		platform.SetInstance(l.out, v.Upstream.Instance)
@@ -100,7 +100,7 @@
 // log writes a line for each decision that starts, ends or loses something; packets of open
 // flows that are simply sent on are only counted.
 func (l *packetLoop) log(p platform.Packet, v inband.Verdict, now time.Time) {
-	if v.Reason == inband.ReasonOpen || !l.budget.take(now) {
+	if v.Reason == inband.ReasonOpen || v.IsRepeated || !l.budget.take(now) {
 		return
 	}
 	if left := l.budget.leftOut; left > 0 {
--- a/inband/steerer.go
+++ b/inband/steerer.go
@@ -19,6 +19,8 @@
 	sweepInterval = time.Second
 	// defaultIdle forgets idle flows while no configuration says how long they may be idle.
 	defaultIdle = 15 * time.Second
+	// maxUnknown bounds the memory that forged tokens take.
+	maxUnknown = 4096
 	// confirmedWithin is how recently the configuration must have been confirmed before a
 	// caller is told that there is no route: less than the 3 s in which a new one must hold.
 	confirmedWithin = 2 * time.Second
@@ -28,8 +30,8 @@
 type Belief interface {
 	// ConfigConfirmedAt returns when the configuration was last known to be the newest.
 	ConfigConfirmedAt() time.Time
-	// UpstreamsListedSince reports whether a complete list was read that was begun after t. It
-	// may cause one to be read soon.
+	// UpstreamsListedSince reports whether a complete list was read that was begun after t and
+	// to which entries that lapsed have come back. It may cause one to be read soon.
 	UpstreamsListedSince(t time.Time) bool
 }
 
@@ -49,9 +51,11 @@
 
 // Steerer decides on packets. It belongs to one task.
 type Steerer struct {
-	options  Options
-	flows    map[wire.FlowKey]*flow
-	load     map[uint32]int
+	options Options
+	flows   map[wire.FlowKey]*flow
+	// load is the number of flows in the table by upstream key.
+	load     map[uint64]int
+	tokens   tokens
 	tracker  *suspicion.Tracker
 	openings []opening
 	// unknown holds since when packets have named a token that no list has shown.
@@ -64,7 +68,7 @@
 // NewSteerer returns a Steerer that has seen no flow.
 func NewSteerer(o Options) *Steerer {
 	return &Steerer{
-		options: o, flows: map[wire.FlowKey]*flow{}, load: map[uint32]int{},
+		options: o, flows: map[wire.FlowKey]*flow{}, load: map[uint64]int{},
 		tracker: suspicion.NewTracker(), unknown: map[uint32]time.Time{},
 	}
 }
@@ -92,13 +96,12 @@
 	isCopy := p.Acknowledged != 0
 	f := s.flows[p.Flow]
 	if f != nil && !f.isOpen {
-		_, ready := snapshot.IsRegistered(f.upstream)
-		if !isCopy && ready {
+		if !isCopy && snapshot.TakesFlows(f.upstream.Key) {
 			f.lastSeen = now
 			return forward(f.upstream, ReasonPlacedAgain)
 		}
 		if isCopy {
-			s.tracker.OpeningCopied(f.upstream.Token, now)
+			s.tracker.OpeningCopied(f.upstream.Key, now)
 		}
 	}
 	route := snapshot.Route(p.Flow.Service())
@@ -121,27 +124,30 @@
 }
 
 func (s *Steerer) place(snapshot *catalog.Snapshot, route *catalog.Route, now time.Time) *catalog.Upstream {
-	upstreams := snapshot.Ready(placement.Service(route.Targets, s.options.Random.Float64()))
 	s.candidates = s.candidates[:0]
-	for _, u := range upstreams {
+	for _, u := range snapshot.Ready(placement.Service(route.Targets, s.options.Random.Float64())) {
+		if s.tokens.isAmbiguous(snapshot, route.Address, u) {
+			continue
+		}
 		s.candidates = append(s.candidates, placement.Candidate{
-			Upstream: u, Flows: s.load[u.Token], IsSuspect: s.tracker.IsSuspect(u.Token, now),
+			Upstream: u, Flows: s.load[u.Key], IsSuspect: s.tracker.IsSuspect(u.Key, now),
 		})
 	}
 	i := placement.Choose(s.options.Zone, s.candidates, now, s.options.Random.Float64)
 	if i < 0 {
 		return nil
 	}
-	return upstreams[i]
+	return s.candidates[i].Upstream
 }
 
 // steer finds the upstream of a flow that is open already.
 func (s *Steerer) steer(snapshot *catalog.Snapshot, p platform.Packet, now time.Time) Verdict {
-	u, fate := snapshot.ByToken(p.Flow.Service(), p.Token, now)
-	switch fate {
-	case catalog.FateUnknown:
+	u := s.tokens.find(snapshot, p.Flow.Service(), p.Token)
+	if u == nil {
 		return s.steerUnknown(p, now)
-	case catalog.FateGone:
+	}
+	fate := snapshot.Fate(u.Key, now)
+	if fate == catalog.FateGone {
 		s.forget(p.Flow)
 		if p.Resets {
 			return drop(ReasonUpstreamGone)
@@ -149,13 +155,13 @@
 		return reset(ReasonUpstreamGone)
 	}
 	f := s.flows[p.Flow]
-	if f == nil || f.upstream.Token != u.Token {
+	if f == nil || f.upstream.Key != u.Key {
 		f = &flow{upstream: u}
 		s.remember(p.Flow, f)
 	}
 	switch f.observe(p, now) {
 	case eventProgress:
-		s.tracker.Progress(u.Token, now)
+		s.tracker.Progress(u.Key, now)
 	case eventRetransmission:
 		if s.isDead(snapshot, f, p, now) {
 			s.forget(p.Flow)
@@ -174,7 +180,7 @@
 // isDead reports whether a flow is to be ended because its upstream does not answer. Only
 // requests that may be repeated are better off: their callers try again on a new flow.
 func (s *Steerer) isDead(snapshot *catalog.Snapshot, f *flow, p platform.Packet, now time.Time) bool {
-	isDead := s.tracker.Retransmitted(f.upstream.Token, p.Flow.Hash(), f.copies, now)
+	isDead := s.tracker.Retransmitted(f.upstream.Key, p.Flow.Hash(), f.copies, now)
 	route := snapshot.Route(p.Flow.Service())
 	return isDead && route != nil && route.Kind.IsRepeatable()
 }
@@ -185,11 +191,16 @@
 func (s *Steerer) steerUnknown(p platform.Packet, now time.Time) Verdict {
 	since, seen := s.unknown[p.Token]
 	if !seen {
+		if len(s.unknown) >= maxUnknown {
+			return drop(ReasonUnknownToken)
+		}
 		since = now
 		s.unknown[p.Token] = now
 	}
-	if now.Sub(since) < catalog.LapseGrace || !s.options.Belief.UpstreamsListedSince(since) {
-		return drop(ReasonUnknownToken)
+	if !s.options.Belief.UpstreamsListedSince(since) {
+		v := drop(ReasonUnknownToken)
+		v.IsRepeated = seen
+		return v
 	}
 	s.forget(p.Flow)
 	if p.Resets {
@@ -201,7 +212,7 @@
 func (s *Steerer) remember(key wire.FlowKey, f *flow) {
 	s.forget(key)
 	s.flows[key] = f
-	s.load[f.upstream.Token]++
+	s.load[f.upstream.Key]++
 }
 
 func (s *Steerer) forget(key wire.FlowKey) {
@@ -210,8 +221,8 @@
 		return
 	}
 	delete(s.flows, key)
-	if s.load[f.upstream.Token]--; s.load[f.upstream.Token] <= 0 {
-		delete(s.load, f.upstream.Token)
+	if s.load[f.upstream.Key]--; s.load[f.upstream.Key] <= 0 {
+		delete(s.load, f.upstream.Key)
 	}
 }
 
@@ -221,7 +232,7 @@
 		o := s.openings[0]
 		s.openings = s.openings[1:]
 		if f := s.flows[o.key]; f != nil && !f.isOpen && f.lastSeen.Equal(o.at) {
-			s.tracker.OpeningUnanswered(f.upstream.Token, now)
+			s.tracker.OpeningUnanswered(f.upstream.Key, now)
 			s.forget(o.key)
 		}
 	}
@@ -243,5 +254,5 @@
 			delete(s.unknown, token)
 		}
 	}
-	s.tracker.Forget(func(token uint32) bool { return s.load[token] > 0 || s.tracker.IsSuspect(token, now) })
+	s.tracker.Forget(func(key uint64) bool { return s.load[key] > 0 || s.tracker.IsSuspect(key, now) })
 }
--- a/inband/verdict.go
+++ b/inband/verdict.go
@@ -50,6 +50,8 @@
 	Action   Action
 	Reason   Reason
 	Upstream *catalog.Upstream
+	// IsRepeated marks a decision that was reported before.
+	IsRepeated bool
 }
 
 func drop(r Reason) Verdict  { return Verdict{Action: ActionDrop, Reason: r} }
--- a/suspicion/suspicion.go
+++ b/suspicion/suspicion.go
@@ -32,45 +32,45 @@
 	refused      int
 }
 
-// Tracker keeps evidence by upstream token.
+// Tracker keeps evidence by upstream key.
 type Tracker struct {
-	records map[uint32]*record
+	records map[uint64]*record
 }
 
 // NewTracker returns a Tracker without evidence.
-func NewTracker() *Tracker { return &Tracker{records: map[uint32]*record{}} }
+func NewTracker() *Tracker { return &Tracker{records: map[uint64]*record{}} }
 
-func (t *Tracker) of(token uint32) *record {
-	r := t.records[token]
+func (t *Tracker) of(upstream uint64) *record {
+	r := t.records[upstream]
 	if r == nil {
 		r = &record{stalled: map[uint64]struct{}{}}
-		t.records[token] = r
+		t.records[upstream] = r
 	}
 	return r
 }
 
 // IsSuspect reports whether new flows should avoid an upstream.
-func (t *Tracker) IsSuspect(token uint32, now time.Time) bool {
-	r := t.records[token]
+func (t *Tracker) IsSuspect(upstream uint64, now time.Time) bool {
+	r := t.records[upstream]
 	return r != nil && now.Before(r.suspectUntil)
 }
 
 // Progress notes that a caller received something from the upstream.
-func (t *Tracker) Progress(token uint32, now time.Time) {
-	r := t.of(token)
+func (t *Tracker) Progress(upstream uint64, now time.Time) {
+	r := t.of(upstream)
 	r.progressAt, r.suspectUntil, r.refused = now, time.Time{}, 0
 	clear(r.stalled)
 }
 
 // OpeningCopied notes that a caller repeated an opening packet that went to the upstream.
-func (t *Tracker) OpeningCopied(token uint32, now time.Time) {
-	t.of(token).suspectUntil = now.Add(suspectFor)
+func (t *Tracker) OpeningCopied(upstream uint64, now time.Time) {
+	t.of(upstream).suspectUntil = now.Add(suspectFor)
 }
 
 // OpeningUnanswered notes that neither a copy nor an acknowledgement followed an opening packet:
 // the caller was refused, or is gone. It reports whether the upstream became suspect.
-func (t *Tracker) OpeningUnanswered(token uint32, now time.Time) bool {
-	r := t.of(token)
+func (t *Tracker) OpeningUnanswered(upstream uint64, now time.Time) bool {
+	r := t.of(upstream)
 	r.refused++
 	if r.refused < refusedOpenings {
 		return false
@@ -81,8 +81,8 @@
 
 // Retransmitted notes the copies-th retransmission of the same data on a flow. It reports
 // whether the flow's upstream counts as dead for it.
-func (t *Tracker) Retransmitted(token uint32, flow uint64, copies int, now time.Time) bool {
-	r := t.of(token)
+func (t *Tracker) Retransmitted(upstream uint64, flow uint64, copies int, now time.Time) bool {
+	r := t.of(upstream)
 	r.stalled[flow] = struct{}{}
 	if now.Sub(r.progressAt) <= quietBefore {
 		return false
@@ -95,10 +95,10 @@
 }
 
 // Forget drops the evidence on upstreams for which keep returns false.
-func (t *Tracker) Forget(keep func(token uint32) bool) {
-	for token := range t.records {
-		if !keep(token) {
-			delete(t.records, token)
+func (t *Tracker) Forget(keep func(upstream uint64) bool) {
+	for upstream := range t.records {
+		if !keep(upstream) {
+			delete(t.records, upstream)
 		}
 	}
 }
