Keep flows in the zone up to its upstreams' fair share

A cut of a zone breaks the flows that leave it, and two thirds of the placements did: with a cost of 4 flows, the upstreams of other zones look idle to a daemon that sees its own zone's callers only.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -10,14 +10,18 @@
 
 // Costs are in open flows of an upstream with the mean number of slots.
 const (
-	// costOtherZone keeps flows in the zone while its upstreams are about as loaded as others:
-	// a flow in the zone survives a cut of the zone. Four flows of some twenty open on each
-	// upstream are an imbalance of a fifth, which 2 slots of 43 % use carry.
-	costOtherZone = 4
+	// zoneFill is how full the upstreams of the zone may get before flows leave it, as a
+	// multiple of the flows that each would have if all zones had as many upstreams. A flow in
+	// the zone survives a cut of the zone, but a zone that lost upstreams needs the others when
+	// more users come.
+	zoneFill = 1.1
+	// leastOtherZone is the cost of another zone while there are few flows: less than it is
+	// no imbalance that a caller notices.
+	leastOtherZone = 4
 	// costCold is what a cold upstream's slower work weighs.
 	costCold = 2
 	// costSuspect outweighs any load, so that a suspect is taken only when all are suspects.
-	costSuspect = 1000
+	costSuspect = 1e6
 )
 
 // Candidate is an upstream with what the daemon knows of it.
@@ -35,13 +39,14 @@
 	for _, c := range candidates {
 		slots += c.Upstream.Slots
 	}
+	otherZone := costOtherZone(candidates)
 	best, lowest := -1, 0.0
 	for i, c := range candidates {
 		// Flows of an upstream with more slots weigh less.
 		weight := float64(slots) / float64(len(candidates)*c.Upstream.Slots)
 		cost := float64(c.Flows)*weight + random()
 		if c.Upstream.Zone != zone {
-			cost += costOtherZone
+			cost += otherZone
 		}
 		if c.Upstream.IsCold(now) {
 			cost += costCold
@@ -56,6 +61,19 @@
 	return best
 }
 
+// costOtherZone returns the flows that an upstream of the zone may have more than one of another
+// zone. Few of the flows that a daemon sees are in other zones, so their upstreams look idle.
+func costOtherZone(candidates []Candidate) float64 {
+	flows := 0
+	zones := map[string]struct{}{}
+	for _, c := range candidates {
+		flows += c.Flows
+		zones[c.Upstream.Zone] = struct{}{}
+	}
+	fair := float64(flows*len(zones)) / float64(max(len(candidates), 1))
+	return max(leastOtherZone, zoneFill*fair)
+}
+
 // Service draws one of a route's services by weight; random is in [0, 1). It returns "" if the
 // route has none.
 func Service(targets []catalog.Target, random float64) string {
