--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -23,7 +23,7 @@
 	// watchWait is the length of a long poll. With the time-out of a dead connection and the
 	// list after it, a change is known within the 3 s that configurations and drains have,
 	// beginning with the 4 s for which a store must be calm.
-	watchWait = 3 * time.Second
+	watchWait = 20 * time.Second
 	// settle is the pause after changes, in which more of them gather into one call. It is
 	// small against the 3 s in which a change must hold.
 	settle = 150 * time.Millisecond
