Let daemons tell one another what the store confirmed

A daemon whose copy was not confirmed for 0.4 to 0.6 of the time in which changes must hold lists the store and tells four others the digest of what it read; those with the same digest count as confirmed and pass it on, those without read. A daemon that the store refuses asks another one.

--- a/discovery/apply.go
+++ b/discovery/apply.go
@@ -6,54 +6,45 @@
 	"github.com/fulmarfield/fulmarfield/store"
 )
 
-func (f *Follower) applyList(kind store.Kind, l store.Listing) {
-	if kind == platform.KindConfiguration {
-		for _, r := range l.Records {
-			f.applyConfiguration(r)
-		}
-		return
-	}
-	upstreams := make([]*catalog.Upstream, 0, len(l.Records))
-	for _, r := range l.Records {
-		if u := f.decodeUpstream(r); u != nil {
-			upstreams = append(upstreams, u)
-		}
-	}
-	f.options.Catalog.SetUpstreams(upstreams)
-	f.options.Logger.Info().Str("event", "upstreams_listed").Uint64("version", uint64(l.AsOf)).
-		Int("upstreams", len(upstreams)).Int("entries", len(l.Records)).Send()
-}
-
-func (f *Follower) applyChanges(kind store.Kind, c store.Changes) {
-	if len(c.Changes) == 0 {
-		return
+// apply puts changes of the copy in force. isFirst marks the first list, which makes the kind
+// known even if it is empty.
+func (f *Follower) apply(kind store.Kind, changes []store.Change, isFirst, fromStore bool) {
+	origin := "store"
+	if !fromStore {
+		origin = "daemon"
 	}
 	if kind == platform.KindConfiguration {
-		for _, change := range c.Changes {
-			if !change.Deleted {
-				f.applyConfiguration(change.Record)
+		for _, change := range changes {
+			if !change.Deleted && change.Record.Name == platform.ConfigurationName {
+				f.applyConfiguration(change.Record, origin)
 			}
 		}
 		return
 	}
 	var put []*catalog.Upstream
 	var removed []string
-	for _, change := range c.Changes {
+	for _, change := range changes {
 		u := (*catalog.Upstream)(nil)
 		if !change.Deleted {
 			u = f.decodeUpstream(change.Record)
 		}
 		if u == nil {
 			removed = append(removed, change.Record.Name)
-			put = without(put, change.Record.Name)
 		} else {
-			put = append(without(put, u.ID), u)
-			removed = withoutName(removed, u.ID)
+			put = append(put, u)
 		}
 	}
-	f.options.Catalog.Change(put, removed)
-	f.options.Logger.Info().Str("event", "upstreams_changed").Uint64("version", uint64(c.AsOf)).
-		Int("put", len(put)).Strs("removed", removed).Send()
+	switch {
+	case isFirst:
+		f.options.Catalog.SetUpstreams(put)
+	case len(changes) > 0:
+		f.options.Catalog.Change(put, removed)
+	default:
+		return
+	}
+	f.options.Logger.Info().Str("event", "upstreams_changed").Str("origin", origin).
+		Uint64("as_of", uint64(f.kinds[kind].mirror.asOf)).
+		Int("put", len(put)).Strs("removed", removed).Int("upstreams", f.options.Catalog.Current().Upstreams()).Send()
 }
 
 func (f *Follower) decodeUpstream(r store.Record) *catalog.Upstream {
@@ -67,10 +58,7 @@
 	return u
 }
 
-func (f *Follower) applyConfiguration(r store.Record) {
-	if r.Name != platform.ConfigurationName {
-		return
-	}
+func (f *Follower) applyConfiguration(r store.Record, origin string) {
 	c, skipped, err := platform.DecodeConfiguration(r)
 	if err != nil {
 		f.options.Counters.Drop("configuration")
@@ -78,28 +66,10 @@
 		return
 	}
 	if !f.options.Catalog.SetConfiguration(c) {
+		f.options.Counters.Drop("configuration_older")
+		f.options.Logger.Warn().Str("event", "configuration_older").Str("origin", origin).Int64("generation", c.Version).Send()
 		return
 	}
-	f.options.Logger.Info().Str("event", "configuration_changed").Int64("generation", c.Version).
+	f.options.Logger.Info().Str("event", "configuration_changed").Str("origin", origin).Int64("generation", c.Version).
 		Uint64("version", uint64(r.Version)).Int("routes", len(c.Routes)).Strs("routes_refused", skipped).Send()
 }
-
-func without(list []*catalog.Upstream, id string) []*catalog.Upstream {
-	kept := list[:0]
-	for _, u := range list {
-		if u.ID != id {
-			kept = append(kept, u)
-		}
-	}
-	return kept
-}
-
-func withoutName(list []string, id string) []string {
-	kept := list[:0]
-	for _, name := range list {
-		if name != id {
-			kept = append(kept, name)
-		}
-	}
-	return kept
-}
--- a/discovery/belief.go
+++ b/discovery/belief.go
@@ -1,96 +1,83 @@
 package discovery
 
 import (
-	"sync"
+	"math"
 	"time"
 
 	"github.com/fulmarfield/fulmarfield/store"
 )
 
-// proof says how an answer of the store bears on what is known of a kind.
-type proof uint8
-
 const (
-	// proofNone means that the answer shows nothing; only a list does.
-	proofNone proof = iota
-	// proofCurrent means that what is known was current when the call began.
-	proofCurrent
-	// proofRead means that the kind must be listed: changes may have been missed.
-	proofRead
+	// confirmShare and spreadShare are when a state is to be confirmed, as shares of the time
+	// in which a change must hold: a daemon reads after 0.4 to 0.6 of it. A change that no
+	// watch shows is then known, with the grace for watches and the calls, in 0.8 of it.
+	confirmShare = 0.4
+	spreadShare  = 0.2
+	// watchGrace is how long a watch has to show what another daemon knows already.
+	watchGrace = 200 * time.Millisecond
+	// daemonsPerStep flattens the spread of many daemons, so that the first one that reads
+	// has told the others before the next one begins.
+	daemonsPerStep = 4
 )
 
-// belief is what one daemon knows of the age of its state. Its methods may be called
-// concurrently.
-type belief struct {
-	mu sync.Mutex
-	// newest is the latest version of any record that any list or watch has shown.
-	newest store.Version
-	// asOf is the version up to which each kind is known, confirmed the begin of the last call
-	// that proved it current, listed the begin of the last complete list.
-	asOf      map[store.Kind]store.Version
-	confirmed map[store.Kind]time.Time
-	listed    map[store.Kind]time.Time
-	// answersSince is when the store began to answer after it had not.
-	answersSince map[store.Kind]time.Time
+// Claim is what another daemon says of a kind: records with this digest were the newest at a
+// time.
+type Claim struct {
+	Kind        store.Kind
+	Digest      uint64
+	AsOf        store.Version
+	ConfirmedAt time.Time
 }
 
-func newBelief() *belief {
-	return &belief{
-		asOf: map[store.Kind]store.Version{}, confirmed: map[store.Kind]time.Time{}, listed: map[store.Kind]time.Time{},
-		answersSince: map[store.Kind]time.Time{},
-	}
+// belief is what a daemon knows of the age of its copy of one kind.
+type belief struct {
+	// confirmedAt is the latest time at which the copy is known to have been the newest.
+	confirmedAt time.Time
+	// listedAt is the begin of the last complete list of the store.
+	listedAt time.Time
+	// differsSince is when another daemon was first known to have other and newer records; the
+	// zero time if none is.
+	differsSince time.Time
 }
 
 // tookList notes a complete list whose call began at a time.
-func (b *belief) tookList(kind store.Kind, l store.Listing, began time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.asOf[kind], b.confirmed[kind], b.listed[kind] = l.AsOf, began, began
-	b.newest = max(b.newest, l.AsOf)
+func (b *belief) tookList(began time.Time, fromStore bool) {
+	b.differsSince = time.Time{}
+	if fromStore {
+		b.listedAt = began
+	}
+	if began.After(b.confirmedAt) {
+		b.confirmedAt = began
+	}
 }
 
-// tookChanges judges the answer of a watch. A watch that shows nothing proves nothing while the
-// store's counter has moved beyond every change that was shown: while the store drops its history
-// it leaves changes out.
-func (b *belief) tookChanges(kind store.Kind, c store.Changes, ended time.Time) proof {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, change := range c.Changes {
-		b.newest = max(b.newest, change.Record.Version)
-	}
-	previous := b.asOf[kind]
-	b.asOf[kind] = max(previous, c.AsOf)
+// tookClaim judges what another daemon says. Equal records that were the newest then confirm the
+// copy. Other records show that it is behind, unless it is ahead.
+func (b *belief) tookClaim(c Claim, m *mirror, now time.Time) {
 	switch {
-	case len(c.Changes) > 0:
-		b.newest = max(b.newest, c.AsOf)
-		b.confirmed[kind] = ended
-		return proofCurrent
-	case c.AsOf <= b.newest:
-		b.confirmed[kind] = ended
-		return proofCurrent
-	default:
-		return proofRead
+	case c.Digest == m.digest:
+		b.differsSince = time.Time{}
+		if c.ConfirmedAt.After(b.confirmedAt) {
+			b.confirmedAt = c.ConfirmedAt
+		}
+	case c.ConfirmedAt.After(b.confirmedAt) && c.AsOf >= m.asOf && b.differsSince.IsZero():
+		b.differsSince = now
 	}
 }
 
-// confirmedAt returns when a kind was last proved current.
-func (b *belief) confirmedAt(kind store.Kind) time.Time {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.confirmed[kind]
-}
+// changed notes that the copy has changed, so that an earlier difference may be gone.
+func (b *belief) changed() { b.differsSince = time.Time{} }
 
-// regained notes that the store answers again, or for the first time.
-func (b *belief) regained(kind store.Kind, at time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.answersSince[kind] = at
+// readAt returns when the copy is to be read again, if nothing else is heard.
+func (b *belief) readAt(bound time.Duration, spread float64) time.Time {
+	due := b.confirmedAt.Add(time.Duration(float64(bound) * (confirmShare + spreadShare*spread)))
+	if grace := b.differsSince.Add(watchGrace); !b.differsSince.IsZero() && grace.Before(due) {
+		return grace
+	}
+	return due
 }
 
-// listedAt returns when the last complete list of a kind began, and since when the store has
-// answered for the kind.
-func (b *belief) listedAt(kind store.Kind) (listed, answersSince time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.listed[kind], b.answersSince[kind]
+// spread turns a random number in [0, 1) into one that few of many daemons draw low.
+func spread(random float64, daemons int) float64 {
+	return math.Pow(random, 1/(1+float64(daemons)/daemonsPerStep))
 }
--- a/edge/admin.go
+++ b/edge/admin.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/fulmarfield/fulmarfield/discovery"
+	"github.com/fulmarfield/fulmarfield/fleet"
 	"github.com/fulmarfield/fulmarfield/platform"
 )
 
@@ -40,14 +42,17 @@
 // adminHandler serves counters and the age of the state as text, one NAME VALUE a line.
 func (d *Daemon) adminHandler() http.Handler {
 	mux := http.NewServeMux()
+	mux.Handle(fleet.NewHandler(d.follower))
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		values := d.counters.Snapshot()
 		snapshot := d.catalog.Current()
 		values["upstreams"] = int64(snapshot.Upstreams())
-		values["config.age_ms"] = age(d.follower.ConfigConfirmedAt())
-		values["upstreams.age_ms"] = age(d.follower.UpstreamsConfirmedAt())
+		for _, kind := range discovery.Kinds() {
+			values[string(kind)+".age_ms"] = age(d.follower.ConfirmedAt(kind))
+		}
+		values["daemons"] = int64(d.fleet.Daemons())
 		if snapshot.Config != nil {
-			values["config.generation"] = snapshot.Config.Version
+			values["generation"] = snapshot.Config.Version
 		}
 		out := bufio.NewWriter(w)
 		for _, name := range slices.Sorted(maps.Keys(values)) {
--- a/edge/app.go
+++ b/edge/app.go
@@ -19,6 +19,7 @@
 
 	"github.com/fulmarfield/fulmarfield/catalog"
 	"github.com/fulmarfield/fulmarfield/discovery"
+	"github.com/fulmarfield/fulmarfield/fleet"
 	"github.com/fulmarfield/fulmarfield/inband"
 	"github.com/fulmarfield/fulmarfield/platform"
 	"github.com/fulmarfield/fulmarfield/store"
@@ -60,11 +61,14 @@
 	settings   *Settings
 	catalog    *catalog.Catalog
 	follower   *discovery.Follower
+	fleet      *fleet.Fleet
 	conn       wire.Conn
+	peerConn   wire.Conn
 	loop       *packetLoop
 	counters   *telemetry.Counters
 	logger     zerolog.Logger
 	isLeaving  atomic.Bool
+	seeds      atomic.Pointer[[]netip.Addr]
 	lastPacket atomicTime
 	servers    []*http.Server
 	sockets    []net.Listener
@@ -111,7 +115,9 @@
 				return platform.NewClient(netip.MustParseAddrPort(settings.StoreAddress), c)
 			},
 			func(s store.Collections, c *catalog.Catalog, n *telemetry.Counters) *discovery.Follower {
-				return discovery.NewFollower(discovery.Options{Store: s, Catalog: c, Counters: n, Logger: logger})
+				return discovery.NewFollower(discovery.Options{
+					Store: s, Catalog: c, Counters: n, Logger: logger, Bound: settings.bound(),
+				})
 			},
 			newDaemon,
 		),
@@ -124,14 +130,25 @@
 	if err != nil {
 		return nil, fmt.Errorf("packet-address: %w", err)
 	}
+	peerConn, err := wire.ListenUDP(netip.MustParseAddrPort(s.AdminAddress))
+	if err != nil {
+		return nil, fmt.Errorf("admin-address: %w", err)
+	}
 	d := &Daemon{
-		settings: s, catalog: c, follower: f, conn: conn, counters: n, logger: logger, failed: make(chan error, 4),
+		settings: s, catalog: c, follower: f, conn: conn, peerConn: peerConn, counters: n, logger: logger,
+		failed: make(chan error, 4),
 	}
+	d.setSeeds(s)
+	d.fleet = fleet.New(fleet.Options{
+		Conn: peerConn, Zone: s.Zone, Follower: f, Counters: n, Logger: logger,
+		Seeds: func() []netip.Addr { return *d.seeds.Load() },
+	})
+	f.Join(d.fleet, d.fleet.Tell)
 	d.loop = &packetLoop{
 		conn: conn, catalog: c, counters: n, logger: logger, lastPacket: &d.lastPacket,
 		budget: lineBudget{perSecond: s.LogLines},
 		steerer: inband.NewSteerer(inband.Options{
-			Zone: s.Zone, Catalog: c, Belief: f,
+			Zone: s.Zone, Catalog: c, Belief: f, Bound: s.bound(),
 			Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		}),
 	}
@@ -146,6 +163,16 @@
 	return d, nil
 }
 
+// setSeeds takes over the seeds of checked settings.
+func (d *Daemon) setSeeds(s *Settings) {
+	seeds, err := s.seedAddresses()
+	if err != nil {
+		// Settings are checked before they get here.
+		d.logger.Error().Str("event", eventReloadRefused).Err(err).Send()
+	}
+	d.seeds.Store(&seeds)
+}
+
 func runDaemon(lc fx.Lifecycle, d *Daemon) {
 	ctx, cancel := context.WithCancel(context.Background())
 	lc.Append(fx.Hook{
@@ -163,6 +190,11 @@
 					d.failed <- fmt.Errorf("follow the store: %w", err)
 				}
 			}()
+			go func() {
+				if err := d.fleet.Run(ctx); ctx.Err() == nil {
+					d.failed <- fmt.Errorf("talk to other daemons: %w", err)
+				}
+			}()
 			go func() {
 				if err := d.loop.run(ctx); err != nil {
 					d.failed <- err
@@ -172,7 +204,7 @@
 		},
 		OnStop: func(context.Context) error {
 			cancel()
-			errs := []error{d.conn.Close()}
+			errs := []error{d.conn.Close(), d.peerConn.Close()}
 			for _, server := range d.servers {
 				errs = append(errs, server.Close())
 			}
@@ -211,6 +243,7 @@
 func (d *Daemon) leave(s os.Signal) {
 	began := time.Now()
 	d.isLeaving.Store(true)
+	d.fleet.Leave()
 	d.logger.Info().Str("event", eventStopping).Str("signal", s.String()).Send()
 	end := began.Add(d.settings.grace() - exitMargin)
 	for now := began; now.Before(end); now = time.Now() {
--- a/edge/reload.go
+++ b/edge/reload.go
@@ -60,6 +60,7 @@
 	}
 	zerolog.SetGlobalLevel(next.level())
 	d.settings.GraceSeconds = next.GraceSeconds
+	d.setSeeds(next)
 	d.counters.Count("settings.reloaded")
 	d.logger.Info().Str("event", eventReloaded).Str("cause", cause).Send()
 }
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -22,9 +22,14 @@
 	Zone          string `long:"zone" env:"FULMAR_ZONE" description:"availability zone of this VM"`
 	PacketAddress string `long:"packet-address" env:"FULMAR_PACKET_ADDRESS" description:"IP:port that routers send packets to (UDP); callers get resets at the same port"`
 	ReadyAddress  string `long:"ready-address" env:"FULMAR_READY_ADDRESS" description:"IP:port that tells routers whether to send packets (TCP)"`
-	AdminAddress  string `long:"admin-address" env:"FULMAR_ADMIN_ADDRESS" description:"IP:port of metrics and state (TCP)"`
+	AdminAddress  string `long:"admin-address" env:"FULMAR_ADMIN_ADDRESS" description:"IP:port for other daemons (TCP and UDP) and metrics"`
 	StoreAddress  string `long:"store-address" env:"FULMAR_STORE_ADDRESS" description:"IP:port of the metadata store (HTTP)"`
 
+	Seeds []string `long:"seeds" env:"FULMAR_SEEDS" env-delim:"," description:"IP:port lists of other daemons, separated by commas; they may be stale, and the port is not used"`
+
+	ConfigurationBound int `long:"configuration-bound-ms" env:"FULMAR_CONFIGURATION_BOUND_MS" default:"3000" description:"time in which an acknowledged configuration is in force, 500 to 60000 ms"`
+	DrainBound         int `long:"drain-bound-ms" env:"FULMAR_DRAIN_BOUND_MS" default:"3000" description:"time after which a draining upstream gets no new flow, 500 to 60000 ms"`
+
 	GraceSeconds float64 `long:"grace-seconds" env:"FULMAR_GRACE_SECONDS" default:"6" description:"time from the request to end until the process is killed, 1 to 600 s"`
 	LogLevel     string  `long:"log-level" env:"FULMAR_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"lowest level that is logged"`
 	LogLines     int     `long:"log-lines" env:"FULMAR_LOG_LINES" default:"50" description:"lines a second on single flows, 1 to 100000; further ones are counted"`
@@ -106,6 +111,14 @@
 			return &SettingError{s.File, name, value, "an IPv4 address and a port from 1 to 65535, as 192.0.2.1:7000"}
 		}
 	}
+	for name, value := range map[string]int{"configuration-bound-ms": s.ConfigurationBound, "drain-bound-ms": s.DrainBound} {
+		if value < 500 || value > 60_000 {
+			return &SettingError{s.File, name, fmt.Sprint(value), "500 to 60000"}
+		}
+	}
+	if _, err := s.seedAddresses(); err != nil {
+		return err
+	}
 	if s.GraceSeconds < 1 || s.GraceSeconds > 600 {
 		return &SettingError{s.File, "grace-seconds", fmt.Sprint(s.GraceSeconds), "1 to 600"}
 	}
@@ -123,7 +136,7 @@
 	for i := range a.NumField() {
 		field := a.Type().Field(i)
 		switch field.Name {
-		case "LogLevel", "LogLines", "GraceSeconds":
+		case "LogLevel", "GraceSeconds", "Seeds":
 			continue
 		}
 		if !a.Field(i).Equal(b.Field(i)) {
@@ -142,6 +155,29 @@
 	return level
 }
 
+// bound is the time in which every change must be in force.
+func (s *Settings) bound() time.Duration {
+	return time.Duration(min(s.ConfigurationBound, s.DrainBound)) * time.Millisecond
+}
+
+// seedAddresses returns the IP addresses of the seeds, or a *SettingError.
+func (s *Settings) seedAddresses() ([]netip.Addr, error) {
+	var seeds []netip.Addr
+	for _, list := range s.Seeds {
+		for value := range strings.SplitSeq(list, ",") {
+			if value = strings.TrimSpace(value); value == "" {
+				continue
+			}
+			address, err := netip.ParseAddrPort(value)
+			if err != nil || !address.Addr().Is4() {
+				return nil, &SettingError{s.File, "seeds", value, "IPv4 addresses with ports, separated by commas"}
+			}
+			seeds = append(seeds, address.Addr())
+		}
+	}
+	return seeds, nil
+}
+
 func (s *Settings) grace() time.Duration {
 	return time.Duration(s.GraceSeconds * float64(time.Second))
 }
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,267 @@
+package fleet
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/api/fulmarfield/v1/fulmarfieldv1connect"
+	"github.com/fulmarfield/fulmarfield/discovery"
+	"github.com/fulmarfield/fulmarfield/internal/wait"
+	"github.com/fulmarfield/fulmarfield/store"
+	"github.com/fulmarfield/fulmarfield/telemetry"
+	"github.com/fulmarfield/fulmarfield/wire"
+)
+
+const (
+	// fanout is to how many daemons news are passed on. Each daemon that hears them passes them
+	// on once, so that 4 leave out about one of 50.
+	fanout = 4
+	// namedDaemons is how many daemons a datagram names.
+	namedDaemons = 6
+	// newsStep is by how much a copy must have become younger to be passed on.
+	newsStep = 300 * time.Millisecond
+	// helloInterval is how often a daemon that has nothing to tell sends to one other, well
+	// within memberTimeout.
+	helloInterval = time.Second
+	// joinInterval is how often a daemon that knows no other sends to the seeds.
+	joinInterval = 200 * time.Millisecond
+	// pauseLimit is a gap between ticks that shows that this VM stood still. What waited in the
+	// socket meanwhile is older than it says.
+	pauseLimit = time.Second
+	// recordsTimeout bounds a call to another daemon.
+	recordsTimeout = 500 * time.Millisecond
+	// batchSize bounds the datagrams that are read at once.
+	batchSize = 16
+)
+
+// ErrNoDaemon means that no other daemon gave its records.
+var ErrNoDaemon = errors.New("no other daemon gives its records")
+
+// Options are what a Fleet works with.
+type Options struct {
+	Conn wire.Conn
+	Zone string
+	// Seeds returns addresses of daemons from the settings. They may be stale.
+	Seeds    func() []netip.Addr
+	Follower *discovery.Follower
+	Counters *telemetry.Counters
+	Logger   zerolog.Logger
+}
+
+// Fleet exchanges claims with other daemons. It implements discovery.Source. Its methods may be
+// called concurrently.
+type Fleet struct {
+	options Options
+	port    uint16
+	http    *http.Client
+
+	mu      sync.Mutex
+	members *members
+	// resumedAt is when this VM last went on after it had stood still, tickedAt the last tick.
+	resumedAt, tickedAt time.Time
+}
+
+// New returns a Fleet that knows no other daemon.
+func New(o Options) *Fleet {
+	local := o.Conn.LocalAddr()
+	dialer := &net.Dialer{Timeout: recordsTimeout}
+	return &Fleet{
+		options: o, port: local.Port(), members: newMembers(local.Addr()), tickedAt: time.Now(),
+		http: &http.Client{Transport: &http.Transport{
+			DialContext: dialer.DialContext, DisableKeepAlives: true,
+		}},
+	}
+}
+
+// Run sends and receives until the context ends.
+func (f *Fleet) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return f.receive(ctx) })
+	group.Go(func() error { return f.greet(ctx) })
+	return group.Wait()
+}
+
+// greet sends to the seeds until another daemon is heard, and later to one daemon at a time.
+func (f *Fleet) greet(ctx context.Context) error {
+	for {
+		f.mu.Lock()
+		now := time.Now()
+		if now.Sub(f.tickedAt) > helloInterval+pauseLimit {
+			f.resumedAt = now
+		}
+		f.tickedAt = now
+		f.members.expire(now)
+		isAlone := len(f.members.heard) == 0
+		if isAlone {
+			f.members.named(f.options.Seeds(), now)
+		}
+		to := f.members.pick(1)
+		if isAlone {
+			to = f.members.pick(fanout)
+		}
+		f.mu.Unlock()
+		f.send(to, false)
+		interval := helloInterval
+		if isAlone {
+			interval = joinInterval
+		}
+		if err := wait.For(ctx, interval); err != nil {
+			return err
+		}
+	}
+}
+
+// Tell passes on what this daemon knows.
+func (f *Fleet) Tell() {
+	f.mu.Lock()
+	to := f.members.pick(fanout)
+	f.mu.Unlock()
+	f.send(to, false)
+}
+
+// Leave tells others that this daemon is about to end.
+func (f *Fleet) Leave() {
+	f.mu.Lock()
+	to := f.members.pick(fanout)
+	f.mu.Unlock()
+	f.send(to, true)
+}
+
+// Daemons returns the number of other daemons that were heard lately.
+func (f *Fleet) Daemons() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.members.heard)
+}
+
+func (f *Fleet) send(to []netip.Addr, isLeaving bool) {
+	if len(to) == 0 {
+		return
+	}
+	m := &pb.FleetDatagram{Zone: f.options.Zone, IsLeaving: isLeaving}
+	f.mu.Lock()
+	for _, a := range shuffled(f.members.heard) {
+		if len(m.Daemons) < namedDaemons {
+			ip := a.As4()
+			m.Daemons = append(m.Daemons, binary.BigEndian.Uint32(ip[:]))
+		}
+	}
+	f.mu.Unlock()
+	now := time.Now()
+	for _, c := range f.options.Follower.Claims() {
+		m.Confirmations = append(m.Confirmations, &pb.Confirmation{
+			Kind: string(c.Kind), Digest: c.Digest, AsOf: uint64(c.AsOf), AgeMs: milliseconds(now.Sub(c.ConfirmedAt)),
+		})
+	}
+	raw, err := proto.Marshal(m)
+	if err != nil {
+		f.options.Logger.Error().Str("event", "fleet_encode_failed").Err(err).Send()
+		return
+	}
+	for _, a := range to {
+		f.options.Counters.Add("fleet.sent_bytes", int64(len(raw)))
+		if err := f.options.Conn.Send(netip.AddrPortFrom(a, f.port), raw); err != nil {
+			// Another daemon, or the next round, tells the same.
+			f.options.Counters.Drop("fleet_send_failed")
+		}
+	}
+}
+
+// milliseconds rounds up, so that an age never falls on its way. It is bounded by the field.
+func milliseconds(d time.Duration) uint32 {
+	const longest = time.Hour
+	return uint32((min(max(d, 0), longest) + time.Millisecond - 1) / time.Millisecond)
+}
+
+func (f *Fleet) receive(ctx context.Context) error {
+	batch := make([]wire.Datagram, batchSize)
+	for {
+		n, err := f.options.Conn.ReadBatch(batch)
+		if errors.Is(err, wire.ErrClosed) || ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			return fmt.Errorf("read from other daemons: %w", err)
+		}
+		for _, d := range batch[:n] {
+			f.handle(d, time.Now())
+		}
+	}
+}
+
+func (f *Fleet) handle(d wire.Datagram, now time.Time) {
+	m := &pb.FleetDatagram{}
+	if err := proto.Unmarshal(d.Data, m); err != nil {
+		f.options.Counters.Drop("fleet_malformed")
+		return
+	}
+	from := d.Addr.Addr()
+	f.mu.Lock()
+	stoodStill := now.Sub(f.tickedAt) > helloInterval+pauseLimit || now.Sub(f.resumedAt) < pauseLimit
+	isNew := f.members.saw(from, now)
+	if m.GetIsLeaving() {
+		f.members.left(from)
+	}
+	named := make([]netip.Addr, 0, len(m.GetDaemons()))
+	for _, ip := range m.GetDaemons() {
+		var b [4]byte
+		binary.BigEndian.PutUint32(b[:], ip)
+		named = append(named, netip.AddrFrom4(b))
+	}
+	f.members.named(named, now)
+	f.mu.Unlock()
+	if stoodStill {
+		f.options.Counters.Drop("fleet_after_pause")
+		return
+	}
+	isNews := false
+	for _, c := range m.GetConfirmations() {
+		isNews = f.options.Follower.TookClaim(discovery.Claim{
+			Kind: store.Kind(c.GetKind()), Digest: c.GetDigest(), AsOf: store.Version(c.GetAsOf()),
+			ConfirmedAt: now.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond),
+		}, newsStep) || isNews
+	}
+	if isNew && !m.GetIsLeaving() {
+		f.options.Logger.Info().Str("event", "daemon_heard").Stringer("address", from).Str("zone", m.GetZone()).Send()
+		f.send([]netip.Addr{from}, false)
+	}
+	if isNews {
+		f.Tell()
+	}
+}
+
+// ListRecords implements discovery.Source with the records of a daemon taken at random.
+func (f *Fleet) ListRecords(ctx context.Context, kind store.Kind) (store.Listing, time.Time, error) {
+	f.mu.Lock()
+	to := f.members.pick(1)
+	f.mu.Unlock()
+	if len(to) == 0 {
+		return store.Listing{}, time.Time{}, fmt.Errorf("%s: %w", kind, ErrNoDaemon)
+	}
+	ctx, cancel := context.WithTimeout(ctx, recordsTimeout)
+	defer cancel()
+	client := fulmarfieldv1connect.NewRecordServiceClient(f.http, "http://"+netip.AddrPortFrom(to[0], f.port).String())
+	began := time.Now()
+	response, err := client.ListRecords(ctx, connect.NewRequest(&pb.ListRecordsRequest{Kind: string(kind)}))
+	if err != nil {
+		return store.Listing{}, time.Time{}, fmt.Errorf("%s of %s: %w: %w", kind, to[0], ErrNoDaemon, err)
+	}
+	l := store.Listing{AsOf: store.Version(response.Msg.GetAsOf())}
+	for _, r := range response.Msg.GetRecords() {
+		l.Records = append(l.Records, store.Record{Name: r.GetName(), Version: store.Version(r.GetVersion()), Body: r.GetBody()})
+	}
+	return l, began.Add(-time.Duration(response.Msg.GetAgeMs()) * time.Millisecond), nil
+}
--- /dev/null
+++ b/fleet/service.go
@@ -0,0 +1,37 @@
+package fleet
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/api/fulmarfield/v1/fulmarfieldv1connect"
+	"github.com/fulmarfield/fulmarfield/discovery"
+	"github.com/fulmarfield/fulmarfield/store"
+)
+
+// recordService serves the copies of this daemon to others.
+type recordService struct{ follower *discovery.Follower }
+
+// NewHandler returns the path and handler of the records that other daemons may ask for.
+func NewHandler(f *discovery.Follower) (string, http.Handler) {
+	return fulmarfieldv1connect.NewRecordServiceHandler(recordService{f})
+}
+
+// ListRecords implements the service; it fails with UNAVAILABLE while the kind is not known.
+func (s recordService) ListRecords(_ context.Context, r *connect.Request[pb.ListRecordsRequest]) (*connect.Response[pb.ListRecordsResponse], error) {
+	l, confirmedAt, err := s.follower.Records(store.Kind(r.Msg.GetKind()))
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	response := &pb.ListRecordsResponse{AsOf: uint64(l.AsOf), AgeMs: milliseconds(time.Since(confirmedAt))}
+	for _, record := range l.Records {
+		response.Records = append(response.Records, &pb.StoredRecord{
+			Name: record.Name, Version: uint64(record.Version), Body: record.Body,
+		})
+	}
+	return connect.NewResponse(response), nil
+}
--- a/inband/steerer.go
+++ b/inband/steerer.go
@@ -21,9 +21,10 @@
 	defaultIdle = 15 * time.Second
 	// maxUnknown bounds the memory that forged tokens take.
 	maxUnknown = 4096
-	// confirmedWithin is how recently the configuration must have been confirmed before a
-	// caller is told that there is no route: less than the 3 s in which a new one must hold.
-	confirmedWithin = 2 * time.Second
+	// confirmedShare is how recently the configuration must have been confirmed before a caller
+	// is told that there is no route, as a share of the time in which a new one must hold. Copies
+	// are confirmed again after 0.6 of it at the latest.
+	confirmedShare = 0.8
 )
 
 // Belief is how current the daemon's state is.
@@ -40,7 +41,9 @@
 	Zone    string
 	Catalog interface{ Current() *catalog.Snapshot }
 	Belief  Belief
-	Random  *rand.Rand
+	// Bound is the time in which a change must be in force on this daemon.
+	Bound  time.Duration
+	Random *rand.Rand
 }
 
 // opening is an opening packet whose caller has not been heard again.
@@ -106,7 +109,7 @@
 	}
 	route := snapshot.Route(p.Flow.Service())
 	if route == nil {
-		if now.Sub(s.options.Belief.ConfigConfirmedAt()) > confirmedWithin {
+		if now.Sub(s.options.Belief.ConfigConfirmedAt()) > time.Duration(confirmedShare*float64(s.options.Bound)) {
 			return drop(ReasonRouteUnconfirmed)
 		}
 		return reset(ReasonNoRoute)
