--- /dev/null
+++ b/suspicion/suspicion_test.go
@@ -0,0 +1,54 @@
+package suspicion_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fulmarfield/fulmarfield/suspicion"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// Guards against an upstream that is avoided for a lost packet: one flow repeats its data once
+// while others hear from the upstream.
+func TestLostPacketIsNoEvidence(t *testing.T) {
+	g := NewWithT(t)
+	tr := suspicion.NewTracker()
+	tr.Progress(1, at(0))
+	g.Expect(tr.Retransmitted(1, 10, 1, at(200))).To(BeFalse())
+	g.Expect(tr.Retransmitted(1, 10, 1, at(500))).To(BeFalse())
+	g.Expect(tr.IsSuspect(1, at(500))).To(BeFalse())
+}
+
+// Guards against an upstream that is silent and keeps getting flows, and against one that stays
+// suspect though it answers again, or for ever.
+func TestSilenceIsSuspect(t *testing.T) {
+	g := NewWithT(t)
+	tr := suspicion.NewTracker()
+	tr.Progress(1, at(0))
+	tr.Retransmitted(1, 10, 1, at(400))
+	g.Expect(tr.Retransmitted(1, 11, 1, at(410))).To(BeFalse(), "no flow is given up yet")
+	g.Expect(tr.IsSuspect(1, at(410))).To(BeTrue(), "two flows repeat their data")
+	g.Expect(tr.Retransmitted(1, 10, 2, at(800))).To(BeTrue())
+	tr.Progress(1, at(900))
+	g.Expect(tr.IsSuspect(1, at(900))).To(BeFalse())
+	tr.OpeningCopied(1, at(1000))
+	g.Expect(tr.IsSuspect(1, at(1000))).To(BeTrue())
+	g.Expect(tr.IsSuspect(1, at(4000))).To(BeFalse())
+	g.Expect(tr.IsSuspect(2, at(1000))).To(BeFalse())
+}
+
+// Guards against an upstream that refuses every flow and so never causes a copy.
+func TestRefusedOpenings(t *testing.T) {
+	g := NewWithT(t)
+	tr := suspicion.NewTracker()
+	g.Expect(tr.OpeningUnanswered(1, at(0))).To(BeFalse())
+	tr.Progress(1, at(10))
+	g.Expect(tr.OpeningUnanswered(1, at(20))).To(BeFalse(), "one between answers proves nothing")
+	g.Expect(tr.OpeningUnanswered(1, at(30))).To(BeTrue())
+	g.Expect(tr.IsSuspect(1, at(30))).To(BeTrue())
+}
