End idle flows of dead and gone upstreams, keep those of unreadable entries

A request that may run only once is lost on a dead flow; told before it sends, its caller opens another one. An entry that somebody else overwrote no longer counts as departed, which would have reset living flows after 2.5 s (found by reading; TestUnreadableEntryEndsNoFlow).

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -153,13 +153,21 @@
 	c.publish()
 }
 
-// Change registers and removes some upstreams. An ID that is removed need not be known.
-func (c *Catalog) Change(put []*Upstream, removed []string) {
+// Change registers and removes some upstreams, and notes those whose entries cannot be read. The
+// IDs of the latter two need not be known.
+func (c *Catalog) Change(put []*Upstream, removed, unreadable []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, u := range put {
 		c.put(u)
 	}
+	for _, id := range unreadable {
+		if u := c.upstreams[id]; u != nil {
+			next := *u
+			next.State = StateUnreadable
+			c.upstreams[id] = &next
+		}
+	}
 	for _, id := range removed {
 		c.remove(id)
 	}
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -35,17 +35,17 @@
 	c.SetUpstreams([]*catalog.Upstream{a, draining})
 	g.Expect(c.Current().Fate(a.Key, now)).To(Equal(catalog.FateRegistered))
 	g.Expect(c.Current().TakesFlows(draining.Key)).To(BeFalse())
-	c.Change(nil, []string{"a", "d", "never known"})
+	c.Change(nil, []string{"a", "d", "never known"}, nil)
 	g.Expect(c.Current().Fate(a.Key, now)).To(Equal(catalog.FateMissing), "it may come back")
 	g.Expect(c.Current().Fate(draining.Key, now)).To(Equal(catalog.FateGone), "it left as announced")
 	g.Expect(c.Current().Fate(a.Key, now.Add(catalog.LapseGrace))).To(Equal(catalog.FateGone))
-	c.Change([]*catalog.Upstream{a}, nil)
+	c.Change([]*catalog.Upstream{a}, nil, nil)
 	g.Expect(c.Current().Fate(a.Key, now)).To(Equal(catalog.FateRegistered), "it came back")
-	c.Change([]*catalog.Upstream{upstream("a", 2)}, nil)
+	c.Change([]*catalog.Upstream{upstream("a", 2)}, nil, nil)
 	g.Expect(c.Current().Fate(a.Key, now)).To(Equal(catalog.FateGone), "its name has a new incarnation")
 	g.Expect(c.Current().Fate(upstream("x", 1).Key, now)).To(Equal(catalog.FateUnknown))
 	now = now.Add(2 * time.Minute)
-	c.Change(nil, nil)
+	c.Change(nil, nil, nil)
 	g.Expect(c.Current().Fate(a.Key, now)).To(Equal(catalog.FateUnknown), "departed ones are forgotten")
 }
 
@@ -57,7 +57,7 @@
 	u := upstream("a", 1)
 	u.ColdFor = 2 * time.Second
 	for range 3 {
-		c.Change([]*catalog.Upstream{u}, nil)
+		c.Change([]*catalog.Upstream{u}, nil, nil)
 		now = now.Add(time.Second)
 	}
 	g.Expect(c.Current().Ready("s")[0].IsCold(now)).To(BeFalse())
--- a/catalog/types.go
+++ b/catalog/types.go
@@ -15,6 +15,9 @@
 const (
 	StateReady State = iota
 	StateDraining
+	// StateUnreadable is that of an upstream whose entry was replaced by one that cannot be
+	// read. It takes no new flows, and nothing shows that it has ended.
+	StateUnreadable
 )
 
 // Upstream is one incarnation of an upstream. It is never changed after it was published.
--- a/discovery/apply.go
+++ b/discovery/apply.go
@@ -22,23 +22,21 @@
 		return
 	}
 	var put []*catalog.Upstream
-	var removed []string
+	var removed, unreadable []string
 	for _, change := range changes {
-		u := (*catalog.Upstream)(nil)
-		if !change.Deleted {
-			u = f.decodeUpstream(change.Record)
-		}
-		if u == nil {
+		if change.Deleted {
 			removed = append(removed, change.Record.Name)
-		} else {
+		} else if u := f.decodeUpstream(change.Record); u != nil {
 			put = append(put, u)
+		} else {
+			unreadable = append(unreadable, change.Record.Name)
 		}
 	}
 	switch {
 	case isFirst:
 		f.options.Catalog.SetUpstreams(put)
 	case len(changes) > 0:
-		f.options.Catalog.Change(put, removed)
+		f.options.Catalog.Change(put, removed, unreadable)
 	default:
 		return
 	}
--- a/edge/logging.go
+++ b/edge/logging.go
@@ -24,6 +24,7 @@
 	eventRestartNeeded   = "settings_need_restart"
 	eventLinesLeftOut    = "log_lines_left_out"
 	eventFlow            = "flow"
+	eventFlowEnded       = "flow_ended"
 	eventPacketSendError = "packet_send_failed"
 )
 
--- a/edge/packets.go
+++ b/edge/packets.go
@@ -88,26 +88,48 @@
 		l.out = platform.AppendReset(l.out[:0], p.Flow, p.Acknowledged)
 		err = l.conn.Send(platform.CallerAddress(p.Flow, l.conn.LocalAddr().Port()), l.out)
 	}
+	l.sendFailed(p.Flow, err, now)
+	for _, e := range l.steerer.TakeEnded() {
+		l.counters.Count("ended." + e.Reason.String())
+		if l.takeLine(now) {
+			l.logger.Info().Str("event", eventFlowEnded).Stringer("flow", e.Flow).Stringer("reason", e.Reason).
+				Str("upstream", e.Upstream.ID).Str("zone", e.Upstream.Zone).Send()
+		}
+		l.out = platform.AppendReset(l.out[:0], e.Flow, e.Acknowledged)
+		l.sendFailed(e.Flow, l.conn.Send(platform.CallerAddress(e.Flow, l.conn.LocalAddr().Port()), l.out), now)
+	}
+}
+
+// sendFailed notes a datagram that could not be sent, if there is an error.
+func (l *packetLoop) sendFailed(flow wire.FlowKey, err error, now time.Time) {
 	if err != nil && !errors.Is(err, wire.ErrClosed) {
 		// A datagram that could not be sent is a lost one; its sender repeats it.
 		l.counters.Drop("send_failed")
-		if l.budget.take(now) {
-			l.logger.Warn().Str("event", eventPacketSendError).Stringer("flow", p.Flow).Err(err).Send()
+		if l.takeLine(now) {
+			l.logger.Warn().Str("event", eventPacketSendError).Stringer("flow", flow).Err(err).Send()
 		}
 	}
 }
 
-// log writes a line for each decision that starts, ends or loses something; packets of open
-// flows that are simply sent on are only counted.
-func (l *packetLoop) log(p platform.Packet, v inband.Verdict, now time.Time) {
-	if v.Reason == inband.ReasonOpen || v.IsRepeated || !l.budget.take(now) {
-		return
+// takeLine reports whether a line on a single flow may be written, and tells how many were not.
+func (l *packetLoop) takeLine(now time.Time) bool {
+	if !l.budget.take(now) {
+		return false
 	}
 	if left := l.budget.leftOut; left > 0 {
 		l.budget.leftOut = 0
 		l.counters.Add("log.left_out", left)
 		l.logger.Warn().Str("event", eventLinesLeftOut).Int64("lines", left).Send()
 	}
+	return true
+}
+
+// log writes a line for each decision that starts, ends or loses something; packets of open
+// flows that are simply sent on are only counted.
+func (l *packetLoop) log(p platform.Packet, v inband.Verdict, now time.Time) {
+	if v.Reason == inband.ReasonOpen || v.IsRepeated || !l.takeLine(now) {
+		return
+	}
 	line := l.logger.Info().Str("event", eventFlow).Stringer("flow", p.Flow).
 		Stringer("action", v.Action).Stringer("reason", v.Reason).Uint32("token", p.Token)
 	if v.Upstream != nil {
--- a/inband/flow.go
+++ b/inband/flow.go
@@ -19,6 +19,17 @@
 	// its last. copies counts retransmissions of the byte at oldest.
 	oldest, next uint32
 	copies       int
+	// sentAt is when the byte at oldest was first seen.
+	sentAt time.Time
+}
+
+// idleAfter is how long a flow must be quiet for nothing to be under way on it: its caller would
+// have repeated data that was not answered after 200 ms.
+const idleAfter = 300 * time.Millisecond
+
+// isIdle reports whether no request is under way on the flow.
+func (f *flow) isIdle(now time.Time) bool {
+	return f.isOpen && f.copies == 0 && now.Sub(f.lastSeen) > idleAfter
 }
 
 // event is what a packet shows of its flow's upstream.
@@ -45,7 +56,7 @@
 	end := p.Sequence + uint32(p.PayloadBytes)
 	if f.next == 0 || int32(end-f.next) > 0 {
 		if seen == eventProgress || f.next == 0 {
-			f.oldest = p.Sequence
+			f.oldest, f.sentAt = p.Sequence, now
 		}
 		f.next = end
 		return seen
@@ -56,7 +67,7 @@
 	if p.Sequence == f.oldest {
 		f.copies++
 	} else {
-		f.oldest, f.copies = p.Sequence, 1
+		f.oldest, f.copies, f.sentAt = p.Sequence, 1, now
 	}
 	return eventRetransmission
 }
--- a/inband/steerer.go
+++ b/inband/steerer.go
@@ -15,8 +15,8 @@
 	// silentOpening is how long after an opening packet its caller must have sent something:
 	// its first copy is due after 200 ms.
 	silentOpening = 300 * time.Millisecond
-	// sweepInterval is how often the flow table is looked through for flows to forget.
-	sweepInterval = time.Second
+	// sweepInterval is how often the flow table is looked through for flows that have ended.
+	sweepInterval = 500 * time.Millisecond
 	// defaultIdle forgets idle flows while no configuration says how long they may be idle.
 	defaultIdle = 15 * time.Second
 	// maxUnknown bounds the memory that forged tokens take.
@@ -52,6 +52,15 @@
 	at  time.Time
 }
 
+// Ended is a flow that cannot be served any more.
+type Ended struct {
+	Flow wire.FlowKey
+	// Acknowledged is the caller's last acknowledgement.
+	Acknowledged uint32
+	Upstream     *catalog.Upstream
+	Reason       Reason
+}
+
 // Steerer decides on packets. It belongs to one task.
 type Steerer struct {
 	options Options
@@ -64,6 +73,8 @@
 	// unknown holds since when packets have named a token that no list has shown.
 	unknown   map[uint32]time.Time
 	lastSweep time.Time
+	// ended are flows whose callers are to be told without having asked.
+	ended []Ended
 	// candidates is reused by each choice.
 	candidates []placement.Candidate
 }
@@ -79,6 +90,15 @@
 // Flows returns the number of flows in the table.
 func (s *Steerer) Flows() int { return len(s.flows) }
 
+// TakeEnded returns flows that have ended since the last call although their callers sent
+// nothing. A caller that is told while no request is under way opens another flow for its next
+// one, which matters most for requests that may run only once: they are lost on a dead flow.
+func (s *Steerer) TakeEnded() []Ended {
+	ended := s.ended
+	s.ended = nil
+	return ended
+}
+
 // Decide returns what to do with a packet.
 func (s *Steerer) Decide(p platform.Packet, now time.Time) Verdict {
 	s.maintain(now)
@@ -162,15 +182,26 @@
 		f = &flow{upstream: u}
 		s.remember(p.Flow, f)
 	}
+	route := snapshot.Route(p.Flow.Service())
+	isRepeatable := route != nil && route.Kind.IsRepeatable()
 	switch f.observe(p, now) {
 	case eventProgress:
 		s.tracker.Progress(u.Key, now)
 	case eventRetransmission:
-		if s.isDead(snapshot, f, p, now) {
+		wasDead := s.tracker.IsDead(u.Key, now)
+		isDead := s.tracker.Retransmitted(u.Key, p.Flow.Hash(), f.copies, f.sentAt, now)
+		if !wasDead && s.tracker.IsDead(u.Key, now) {
+			s.endIdle(u.Key, now)
+		}
+		if isDead && isRepeatable {
 			s.forget(p.Flow)
 			return reset(ReasonUpstreamDead)
 		}
 	}
+	if p.PayloadBytes > 0 && isRepeatable && s.tracker.IsDead(u.Key, now) {
+		s.forget(p.Flow)
+		return reset(ReasonUpstreamDead)
+	}
 	if p.Finishes || p.Resets {
 		s.forget(p.Flow)
 	}
@@ -180,12 +211,18 @@
 	return forward(u, ReasonOpen)
 }
 
-// isDead reports whether a flow is to be ended because its upstream does not answer. Only
-// requests that may be repeated are better off: their callers try again on a new flow.
-func (s *Steerer) isDead(snapshot *catalog.Snapshot, f *flow, p platform.Packet, now time.Time) bool {
-	isDead := s.tracker.Retransmitted(f.upstream.Key, p.Flow.Hash(), f.copies, now)
-	route := snapshot.Route(p.Flow.Service())
-	return isDead && route != nil && route.Kind.IsRepeatable()
+// endIdle ends the idle flows of an upstream that does not answer.
+func (s *Steerer) endIdle(upstream uint64, now time.Time) {
+	for key, f := range s.flows {
+		if f.upstream.Key == upstream && f.isIdle(now) {
+			s.end(key, f, ReasonUpstreamDead)
+		}
+	}
+}
+
+func (s *Steerer) end(key wire.FlowKey, f *flow, r Reason) {
+	s.ended = append(s.ended, Ended{Flow: key, Acknowledged: f.acknowledged, Upstream: f.upstream, Reason: r})
+	s.forget(key)
 }
 
 // steerUnknown handles a token that the catalog does not have. It may be of an upstream that
@@ -243,13 +280,17 @@
 		return
 	}
 	s.lastSweep = now
+	snapshot := s.options.Catalog.Current()
 	idle := defaultIdle
-	if c := s.options.Catalog.Current().Config; c != nil && c.IdleTimeout > 0 {
-		idle = c.IdleTimeout
+	if snapshot.Config != nil && snapshot.Config.IdleTimeout > 0 {
+		idle = snapshot.Config.IdleTimeout
 	}
 	for key, f := range s.flows {
-		if now.Sub(f.lastSeen) > idle {
+		switch {
+		case now.Sub(f.lastSeen) > idle:
 			s.forget(key)
+		case f.isOpen && snapshot.Fate(f.upstream.Key, now) == catalog.FateGone:
+			s.end(key, f, ReasonUpstreamGone)
 		}
 	}
 	for token, since := range s.unknown {
--- a/inband/steerer_test.go
+++ b/inband/steerer_test.go
@@ -221,6 +221,53 @@
 	}
 }
 
+// Guards against requests that are lost on flows which are known to be dead: callers of idle flows
+// are told before they send, and repeatable requests go elsewhere at once.
+func TestFlowsOfDeadUpstream(t *testing.T) {
+	w := newWorld(t, upstream("a", "bindery", "schuur"))
+	first, _ := w.open(orders)
+	second, _ := w.open(orders)
+	idle, _ := w.open(orders)
+	feed, _ := w.open(bindery)
+	w.wait(time.Second)
+	for _, gap := range []time.Duration{0, 200 * time.Millisecond, 400 * time.Millisecond} {
+		w.wait(gap)
+		w.Expect(w.steerer.TakeEnded()).To(BeEmpty())
+		for _, p := range []platform.Packet{first, second} {
+			w.Expect(w.decide(withData(p)).Action).To(Equal(inband.ActionForward), "it may have run")
+		}
+	}
+	var ended []wire.FlowKey
+	for _, e := range w.steerer.TakeEnded() {
+		ended = append(ended, e.Flow)
+	}
+	w.Expect(ended).To(ConsistOf(idle.Flow, feed.Flow))
+}
+
+// Guards against flows of an upstream that has ended whose callers learn it from a lost request.
+func TestFlowsOfGoneUpstreamEnd(t *testing.T) {
+	w := newWorld(t, upstream("a", "bindery", "schuur"))
+	p, _ := w.open(orders)
+	w.catalog.Change(nil, []string{"a"}, nil)
+	w.wait(time.Second)
+	w.decide(platform.Packet{Flow: w.key(gallery), Token: 1})
+	w.Expect(w.steerer.TakeEnded()).To(BeEmpty(), "its entry may come back")
+	w.wait(2 * time.Second)
+	w.decide(platform.Packet{Flow: w.key(gallery), Token: 1})
+	w.Expect(w.steerer.TakeEnded()).To(ConsistOf(HaveField("Flow", p.Flow)))
+}
+
+// Guards against flows that end because somebody else wrote their upstream's entry.
+func TestUnreadableEntryEndsNoFlow(t *testing.T) {
+	w := newWorld(t, upstream("a", "bindery", "schuur"), upstream("b", "bindery", "winkel"))
+	p, _ := w.open(orders)
+	w.catalog.Change(nil, nil, []string{"a", "unknown"})
+	w.wait(time.Minute)
+	w.Expect(w.decide(p).Action).To(Equal(inband.ActionForward))
+	_, placed := w.open(orders)
+	w.Expect(placed.ID).To(Equal("b"))
+}
+
 // Guards against a reset of a flow whose upstream works on a long request: callers of other flows
 // hear from it.
 func TestSlowRequestIsNotReset(t *testing.T) {
@@ -242,7 +289,7 @@
 func TestDepartedUpstream(t *testing.T) {
 	w := newWorld(t, upstream("a", "bindery", "schuur"), upstream("b", "bindery", "schuur"))
 	p, u := w.open(orders)
-	w.catalog.Change(nil, []string{u.ID})
+	w.catalog.Change(nil, []string{u.ID}, nil)
 	v := w.decide(withData(p))
 	w.Expect(v.Reason).To(Equal(inband.ReasonMissingUpstream))
 	w.Expect(v.Upstream.Key).To(Equal(u.Key), "the datagram is for this incarnation only")
@@ -257,7 +304,7 @@
 	w.Expect(u.ID).To(Equal("a"))
 	draining := *upstream("a", "bindery", "schuur")
 	draining.State = catalog.StateDraining
-	w.catalog.Change([]*catalog.Upstream{&draining}, nil)
+	w.catalog.Change([]*catalog.Upstream{&draining}, nil, nil)
 	for range 20 {
 		_, placed := w.open(bindery)
 		w.Expect(placed.ID).To(Equal("b"))
--- a/suspicion/suspicion.go
+++ b/suspicion/suspicion.go
@@ -19,6 +19,9 @@
 	// CopiesUntilDead is the retransmission, 600 ms after the data was first sent, from which
 	// on a flow counts as dead if its upstream shows no progress on others either.
 	CopiesUntilDead = 2
+	// deadFor is how long an upstream counts as dead after the last sign of it. The longest gap
+	// between the first retransmissions of a flow is 800 ms.
+	deadFor = time.Second
 	// refusedOpenings is how many openings in a row without any sign from their callers show
 	// an upstream that refuses flows. One may be a caller whose packets changed balancers.
 	refusedOpenings = 2
@@ -28,6 +31,7 @@
 type record struct {
 	progressAt   time.Time
 	suspectUntil time.Time
+	deadUntil    time.Time
 	stalled      map[uint64]struct{}
 	refused      int
 }
@@ -55,10 +59,17 @@
 	return r != nil && now.Before(r.suspectUntil)
 }
 
+// IsDead reports whether an upstream answers none of its flows: callers are better off with
+// another one at once than after their time-outs.
+func (t *Tracker) IsDead(upstream uint64, now time.Time) bool {
+	r := t.records[upstream]
+	return r != nil && now.Before(r.deadUntil)
+}
+
 // Progress notes that a caller received something from the upstream.
 func (t *Tracker) Progress(upstream uint64, now time.Time) {
 	r := t.of(upstream)
-	r.progressAt, r.suspectUntil, r.refused = now, time.Time{}, 0
+	r.progressAt, r.suspectUntil, r.deadUntil, r.refused = now, time.Time{}, time.Time{}, 0
 	clear(r.stalled)
 }
 
@@ -79,9 +90,9 @@
 	return true
 }
 
-// Retransmitted notes the copies-th retransmission of the same data on a flow. It reports
-// whether the flow's upstream counts as dead for it.
-func (t *Tracker) Retransmitted(upstream uint64, flow uint64, copies int, now time.Time) bool {
+// Retransmitted notes the copies-th retransmission on a flow of data that was first sent at a
+// time. It reports whether the flow's upstream counts as dead for it.
+func (t *Tracker) Retransmitted(upstream, flow uint64, copies int, sentAt, now time.Time) bool {
 	r := t.of(upstream)
 	r.stalled[flow] = struct{}{}
 	if now.Sub(r.progressAt) <= quietBefore {
@@ -91,6 +102,11 @@
 	if isDead || len(r.stalled) >= stalledFlows {
 		r.suspectUntil = now.Add(suspectFor)
 	}
+	// One flow may be the only one that is lost. Two of them, and no sign on any other flow
+	// since the first one's data was sent, are not.
+	if len(r.stalled) >= stalledFlows && (isDead && r.progressAt.Before(sentAt) || now.Before(r.deadUntil)) {
+		r.deadUntil = now.Add(deadFor)
+	}
 	return isDead
 }
 
