Note when a request's first data was sent

The time stayed that of an earlier request when a plain acknowledgement came in between, so that no upstream ever counted as dead. TestFlowsOfDeadUpstream fails without the change.

--- a/inband/flow.go
+++ b/inband/flow.go
@@ -55,7 +55,7 @@
 	}
 	end := p.Sequence + uint32(p.PayloadBytes)
 	if f.next == 0 || int32(end-f.next) > 0 {
-		if seen == eventProgress || f.next == 0 {
+		if seen == eventProgress || f.next == 0 || p.Sequence == f.oldest {
 			f.oldest, f.sentAt = p.Sequence, now
 		}
 		f.next = end
--- a/inband/steerer_test.go
+++ b/inband/steerer_test.go
@@ -230,6 +230,12 @@
 	idle, _ := w.open(orders)
 	feed, _ := w.open(bindery)
 	w.wait(time.Second)
+	for _, p := range []*platform.Packet{&first, &second} {
+		w.decide(withData(*p))
+		p.Acknowledged, p.Sequence = p.Acknowledged+600, p.Sequence+200
+		w.decide(*p)
+	}
+	w.wait(time.Second)
 	for _, gap := range []time.Duration{0, 200 * time.Millisecond, 400 * time.Millisecond} {
 		w.wait(gap)
 		w.Expect(w.steerer.TakeEnded()).To(BeEmpty())
