--- a/inband/flow.go
+++ b/inband/flow.go
@@ -19,6 +19,8 @@
 	// its last. copies counts retransmissions of the byte at oldest.
 	oldest, next uint32
 	copies       int
+	// isBusy is set while a request of the caller's waits for an answer.
+	isBusy bool
 	// sentAt is when the byte at oldest was first seen.
 	sentAt time.Time
 }
@@ -49,7 +51,9 @@
 		f.isOpen, f.acknowledged, f.copies = true, p.Acknowledged, 0
 		f.oldest = p.Sequence
 		seen = eventProgress
+		f.isBusy = false
 	}
+	f.isBusy = f.isBusy || p.PayloadBytes > 0
 	if p.PayloadBytes == 0 {
 		return seen
 	}
--- a/inband/steerer.go
+++ b/inband/steerer.go
@@ -66,7 +66,9 @@
 	options Options
 	flows   map[wire.FlowKey]*flow
 	// load is the number of flows in the table by upstream key.
-	load     map[uint64]int
+	load map[uint64]int
+	// busy is the number of those on which a request waits for its answer.
+	busy     map[uint64]int
 	tokens   tokens
 	tracker  *suspicion.Tracker
 	openings []opening
@@ -82,7 +84,7 @@
 // NewSteerer returns a Steerer that has seen no flow.
 func NewSteerer(o Options) *Steerer {
 	return &Steerer{
-		options: o, flows: map[wire.FlowKey]*flow{}, load: map[uint64]int{},
+		options: o, flows: map[wire.FlowKey]*flow{}, load: map[uint64]int{}, busy: map[uint64]int{},
 		tracker: suspicion.NewTracker(), unknown: map[uint32]time.Time{},
 	}
 }
@@ -153,7 +155,7 @@
 			continue
 		}
 		s.candidates = append(s.candidates, placement.Candidate{
-			Upstream: u, Flows: s.load[u.Key], IsSuspect: s.tracker.IsSuspect(u.Key, now),
+			Upstream: u, Flows: s.load[u.Key], Busy: s.busy[u.Key], IsSuspect: s.tracker.IsSuspect(u.Key, now),
 		})
 	}
 	i := placement.Choose(s.options.Zone, s.candidates, now, s.options.Random.Float64)
@@ -184,7 +186,10 @@
 	}
 	route := snapshot.Route(p.Flow.Service())
 	isRepeatable := route != nil && route.Kind.IsRepeatable()
-	switch f.observe(p, now) {
+	wasBusy := f.isBusy
+	seen := f.observe(p, now)
+	s.countBusy(u.Key, wasBusy, f.isBusy)
+	switch seen {
 	case eventProgress:
 		s.tracker.Progress(u.Key, now)
 	case eventRetransmission:
@@ -261,11 +266,24 @@
 		return
 	}
 	delete(s.flows, key)
+	s.countBusy(f.upstream.Key, f.isBusy, false)
 	if s.load[f.upstream.Key]--; s.load[f.upstream.Key] <= 0 {
 		delete(s.load, f.upstream.Key)
 	}
 }
 
+// countBusy follows a change of a flow's state.
+func (s *Steerer) countBusy(upstream uint64, was, is bool) {
+	switch {
+	case is && !was:
+		s.busy[upstream]++
+	case was && !is:
+		if s.busy[upstream]--; s.busy[upstream] <= 0 {
+			delete(s.busy, upstream)
+		}
+	}
+}
+
 // maintain notes openings that stayed without an answer and forgets idle flows.
 func (s *Steerer) maintain(now time.Time) {
 	for len(s.openings) > 0 && now.Sub(s.openings[0].at) > silentOpening {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -18,6 +18,8 @@
 	// leastOtherZone is the cost of another zone while there are few flows: less than it is
 	// no imbalance that a caller notices.
 	leastOtherZone = 4
+	// costBusy is what a request under way weighs beside its flow.
+	costBusy = 2
 	// costCold is what a cold upstream's slower work weighs.
 	costCold = 2
 	// costSuspect outweighs any load, so that a suspect is taken only when all are suspects.
@@ -28,7 +30,9 @@
 type Candidate struct {
 	Upstream *catalog.Upstream
 	// Flows is the number of open flows that this daemon knows on it.
-	Flows     int
+	Flows int
+	// Busy is the number of those flows on which a request waits for its answer.
+	Busy      int
 	IsSuspect bool
 }
 
@@ -44,7 +48,7 @@
 	for i, c := range candidates {
 		// Flows of an upstream with more slots weigh less.
 		weight := float64(slots) / float64(len(candidates)*c.Upstream.Slots)
-		cost := float64(c.Flows)*weight + random()
+		cost := (float64(c.Flows)+costBusy*float64(c.Busy))*weight + random()
 		if c.Upstream.Zone != zone {
 			cost += otherZone
 		}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -87,3 +87,12 @@
 	g.Expect(placement.Service(targets, 0.999)).To(Equal("b"))
 	g.Expect(placement.Service(nil, 0)).To(BeEmpty())
 }
+
+// Guards against new flows for an upstream whose callers wait already: after a restart the flows
+// that a daemon knows say little.
+func TestBusyUpstreamIsAvoided(t *testing.T) {
+	g := NewWithT(t)
+	list := candidates("a", "a")
+	list[0].Flows, list[0].Busy, list[1].Flows = 3, 3, 5
+	g.Expect(placement.Choose("a", list, now, func() float64 { return 0 })).To(Equal(1))
+}
