--- /dev/null
+++ b/standin/echo/caller.go
@@ -0,0 +1,180 @@
+package echo
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// Outcomes of a request. Only ErrNotOpened says that it has not run.
+var (
+	ErrNotOpened = errors.New("flow was not opened")
+	ErrReset     = errors.New("flow was reset")
+	ErrDeadline  = errors.New("deadline has passed")
+)
+
+// Retransmission of callers.
+const (
+	openTimeout       = 1400 * time.Millisecond
+	firstRetransmit   = 200 * time.Millisecond
+	longestRetransmit = 1600 * time.Millisecond
+)
+
+// Caller opens flows from one IP address. Its methods may be called concurrently.
+type Caller struct {
+	socket *net.UDPConn
+	// route returns the balancer that the next packet goes to.
+	route func() netip.AddrPort
+
+	mu    sync.Mutex
+	next  uint16
+	flows map[uint16]*Flow
+}
+
+// StartCaller listens on an address; routers send each packet to the balancer that route returns.
+func StartCaller(address netip.AddrPort, route func() netip.AddrPort) (*Caller, error) {
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, fmt.Errorf("start caller: %w", err)
+	}
+	c := &Caller{socket: socket, route: route, next: 1024, flows: map[uint16]*Flow{}}
+	go c.receive()
+	return c, nil
+}
+
+// Stop ends all flows without a word.
+func (c *Caller) Stop() { _ = c.socket.Close() } // Close fails only if it was stopped before.
+
+func (c *Caller) receive() {
+	b := make([]byte, 2048)
+	for {
+		n, err := c.socket.Read(b)
+		if err != nil {
+			return
+		}
+		p, ok := decode(b[:n])
+		if !ok {
+			continue
+		}
+		c.mu.Lock()
+		f := c.flows[p.dst.Port()]
+		c.mu.Unlock()
+		if f == nil || f.service != p.src {
+			continue
+		}
+		select {
+		case f.received <- p:
+		default: // A full queue loses the packet, as a socket does.
+		}
+	}
+}
+
+// Flow is one flow of a caller. It belongs to one task.
+type Flow struct {
+	caller   *Caller
+	port     uint16
+	service  netip.AddrPort
+	received chan packet
+	echo     uint32
+	seq, ack uint32
+}
+
+// Token returns the token that the flow echoes.
+func (f *Flow) Token() uint32 { return f.echo }
+
+// SetToken makes the flow echo another token.
+func (f *Flow) SetToken(token uint32) { f.echo = token }
+
+func (f *Flow) send(p packet) {
+	p.echo, p.dst = f.echo, f.service
+	p.src = netip.AddrPortFrom(f.caller.socket.LocalAddr().(*net.UDPAddr).AddrPort().Addr(), f.port)
+	// A packet that is lost is repeated.
+	_, _ = f.caller.socket.WriteToUDPAddrPort(p.encode(), f.caller.route())
+}
+
+// Open opens a flow to a service address, or returns ErrNotOpened.
+func (c *Caller) Open(service netip.AddrPort) (*Flow, error) {
+	c.mu.Lock()
+	c.next++
+	f := &Flow{caller: c, port: c.next, service: service, received: make(chan packet, 64), seq: rand.Uint32()}
+	c.flows[f.port] = f
+	c.mu.Unlock()
+	deadline := time.After(openTimeout)
+	for copies, delay := range []time.Duration{firstRetransmit, 2 * firstRetransmit, openTimeout} {
+		f.send(packet{seq: f.seq, ack: uint32(copies), flags: flagSYN})
+		again := time.After(delay)
+		for waiting := true; waiting; {
+			select {
+			case p := <-f.received:
+				if p.flags&flagRST != 0 {
+					return nil, fmt.Errorf("%w: reset", ErrNotOpened)
+				}
+				if p.flags&flagSYN != 0 {
+					f.echo, f.seq, f.ack = p.echo, f.seq+1, p.seq+1
+					f.send(packet{seq: f.seq, ack: f.ack, flags: flagACK})
+					return f, nil
+				}
+			case <-again:
+				waiting = false
+			case <-deadline:
+				return nil, fmt.Errorf("%w: no answer", ErrNotOpened)
+			}
+		}
+	}
+	return nil, fmt.Errorf("%w: no answer", ErrNotOpened)
+}
+
+// Request sends a request and returns its answer, or ErrReset or ErrDeadline.
+func (f *Flow) Request(request string, timeout time.Duration) (string, error) {
+	deadline := time.After(timeout)
+	delay := firstRetransmit
+	for {
+		f.send(packet{seq: f.seq, ack: f.ack, flags: flagACK, payload: []byte(request)})
+		again := time.After(delay)
+		delay = min(2*delay, longestRetransmit)
+		for waiting := true; waiting; {
+			select {
+			case p := <-f.received:
+				switch {
+				case p.flags&flagRST != 0:
+					return "", ErrReset
+				case len(p.payload) > 0 && p.seq == f.ack:
+					f.seq += uint32(len(request))
+					f.ack += uint32(len(p.payload))
+					f.send(packet{seq: f.seq, ack: f.ack, flags: flagACK})
+					return string(p.payload), nil
+				}
+			case <-again:
+				waiting = false
+			case <-deadline:
+				return "", ErrDeadline
+			}
+		}
+	}
+}
+
+// IsReset reports whether the flow was reset while nothing was asked.
+func (f *Flow) IsReset() bool {
+	for {
+		select {
+		case p := <-f.received:
+			if p.flags&flagRST != 0 {
+				return true
+			}
+		default:
+			return false
+		}
+	}
+}
+
+// Close ends the flow.
+func (f *Flow) Close() {
+	f.send(packet{seq: f.seq, ack: f.ack, flags: flagFIN | flagACK})
+	f.caller.mu.Lock()
+	defer f.caller.mu.Unlock()
+	delete(f.caller.flows, f.port)
+}
--- /dev/null
+++ b/standin/echo/upstream.go
@@ -0,0 +1,149 @@
+package echo
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Upstream answers requests with its ID. Its methods may be called concurrently.
+type Upstream struct {
+	ID string
+	// StartedAt tells incarnations apart.
+	StartedAt time.Time
+
+	instance   uint64
+	callerPort uint16
+	socket     *net.UDPConn
+
+	mu       sync.Mutex
+	isSilent bool
+	flows    map[netip.AddrPort]*upstreamFlow
+	// opened holds when each flow was opened, runs how often each request was run.
+	opened []time.Time
+	runs   map[string]int
+}
+
+type upstreamFlow struct {
+	seq, ack uint32
+	isOpen   bool
+	answer   []byte
+}
+
+// StartUpstream listens on an address. Callers are answered at their IP address and callerPort.
+func StartUpstream(id string, instance uint64, address netip.AddrPort, callerPort uint16) (*Upstream, error) {
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, fmt.Errorf("start upstream %s: %w", id, err)
+	}
+	u := &Upstream{
+		ID: id, StartedAt: time.Now(), instance: instance, callerPort: callerPort, socket: socket,
+		flows: map[netip.AddrPort]*upstreamFlow{}, runs: map[string]int{},
+	}
+	go u.serve()
+	return u, nil
+}
+
+// Address returns where it listens.
+func (u *Upstream) Address() netip.AddrPort { return u.socket.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+// SetSilent makes it read nothing, or read again.
+func (u *Upstream) SetSilent(on bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.isSilent = on
+}
+
+// Opened returns when its flows were opened.
+func (u *Upstream) Opened() []time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return append([]time.Time(nil), u.opened...)
+}
+
+// Runs returns how often each request was run, by its text.
+func (u *Upstream) Runs() map[string]int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	runs := make(map[string]int, len(u.runs))
+	for request, n := range u.runs {
+		runs[request] = n
+	}
+	return runs
+}
+
+// Stop ends it without a word to anybody.
+func (u *Upstream) Stop() { _ = u.socket.Close() } // Close fails only if it was stopped before.
+
+func (u *Upstream) serve() {
+	b := make([]byte, 2048)
+	for {
+		n, err := u.socket.Read(b)
+		if err != nil {
+			return
+		}
+		if n < envelopeBytes {
+			continue
+		}
+		instance := binary.BigEndian.Uint64(b)
+		p, ok := decode(b[envelopeBytes:n])
+		if !ok || instance != 0 && instance != u.instance {
+			continue
+		}
+		u.mu.Lock()
+		if !u.isSilent {
+			u.handle(p)
+		}
+		u.mu.Unlock()
+	}
+}
+
+func (u *Upstream) handle(p packet) {
+	f := u.flows[p.src]
+	answer := packet{echo: p.echo, src: p.dst, dst: p.src}
+	switch {
+	case p.flags&flagSYN != 0:
+		if f == nil {
+			f = &upstreamFlow{seq: rand.Uint32(), ack: p.seq + 1}
+			u.flows[p.src] = f
+		}
+		answer.seq, answer.ack, answer.flags = f.seq, f.ack, flagSYN|flagACK
+	case f == nil || !f.isOpen && p.ack != f.seq+1:
+		answer.seq, answer.flags = p.ack, flagRST
+	case p.flags&flagFIN != 0:
+		delete(u.flows, p.src)
+		answer.seq, answer.ack, answer.flags = p.ack, p.seq+1, flagFIN|flagACK
+	default:
+		if !f.isOpen {
+			f.isOpen, f.seq = true, f.seq+1
+			u.opened = append(u.opened, time.Now())
+		}
+		if len(p.payload) == 0 {
+			return
+		}
+		if p.seq == f.ack {
+			request := string(p.payload)
+			u.runs[request]++
+			f.seq += uint32(len(f.answer))
+			f.ack += uint32(len(p.payload))
+			f.answer = []byte(u.ID + " " + request)
+		}
+		answer.seq, answer.ack, answer.flags, answer.payload = f.seq, f.ack, flagACK, f.answer
+	}
+	// A datagram that is lost is repeated by the caller.
+	_, _ = u.socket.WriteToUDPAddrPort(answer.encode(), netip.AddrPortFrom(p.src.Addr(), u.callerPort))
+}
+
+// RunBy returns the ID in an answer to a request, or "" if it is no whole answer to it.
+func RunBy(answer, request string) string {
+	id, rest, found := strings.Cut(answer, " ")
+	if !found || rest != request {
+		return ""
+	}
+	return id
+}
