--- a/daemon/examples_test.go
+++ b/daemon/examples_test.go
@@ -30,7 +30,7 @@
 // page that breaks a flow.
 func TestExamplesOfTheOperationsPage(t *testing.T) {
 	g := NewWithT(t)
-	text, err := os.ReadFile("../docs/operations.md")
+	text, err := os.ReadFile("../docs/OPERATIONS.md")
 	g.Expect(err).NotTo(HaveOccurred())
 	var got strings.Builder
 	for i, part := range strings.SplitAfter(string(text), "\n## ") {
@@ -40,7 +40,7 @@
 		got.WriteString(part)
 	}
 	if flag.Lookup("update-page").Value.String() == "true" {
-		g.Expect(os.WriteFile("../docs/operations.md", []byte(got.String()), 0o644)).To(Succeed())
+		g.Expect(os.WriteFile("../docs/OPERATIONS.md", []byte(got.String()), 0o644)).To(Succeed())
 		return
 	}
 	g.Expect(got.String()).To(Equal(string(text)), "run: go test ./daemon -run Examples -update-page")
--- a/daemon/page_test.go
+++ b/daemon/page_test.go
@@ -14,9 +14,9 @@
 	. "github.com/onsi/gomega"
 )
 
-var updatePage = flag.Bool("update-page", false, "write the settings table to docs/operations.md")
+var updatePage = flag.Bool("update-page", false, "write the settings table to docs/OPERATIONS.md")
 
-const operationsPage = "../docs/operations.md"
+const operationsPage = "../docs/OPERATIONS.md"
 
 // sources returns the text of the product's code, without stand-ins, tests and tools.
 func sources(g Gomega) string {
--- /dev/null
+++ b/edge/logging_test.go
@@ -0,0 +1,47 @@
+package edge
+
+import (
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against packets that wait for the reader of the log: one that has stopped reading costs
+// lines, not time, and it is known how many.
+func TestStalledLogReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		reader, writer := io.Pipe()
+		a := newAsyncWriter(writer)
+		const extra = 500
+		for range queuedLines + 1 + extra {
+			n, err := a.Write([]byte("line\n"))
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(n).To(Equal(5))
+			synctest.Wait()
+		}
+		g.Expect(a.lost.Load()).To(Equal(int64(extra)))
+		began := time.Now()
+		a.flush(flushTimeout)
+		g.Expect(time.Since(began)).To(Equal(flushTimeout))
+		g.Expect(reader.Close()).To(Succeed())
+	})
+}
+
+// Guards against log volume that grows with the load.
+func TestLineBudget(t *testing.T) {
+	g := NewWithT(t)
+	b := lineBudget{perSecond: 50}
+	now := time.Unix(1_700_000_000, 0)
+	written := 0
+	for i := range 10_000 {
+		if b.take(now.Add(time.Duration(i) * time.Millisecond)) {
+			written++
+		}
+	}
+	g.Expect(written).To(Equal(500))
+	g.Expect(b.leftOut).To(Equal(int64(9_500)))
+}
--- /dev/null
+++ b/edge/settings_test.go
@@ -0,0 +1,107 @@
+package edge
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+const goodFile = `name = front-1
+zone = schuur
+packet-address = 127.50.0.1:7701
+ready-address = 127.50.0.1:7702
+admin-address = 127.50.0.1:7703
+store-address = 127.50.9.1:7704
+seeds = 127.50.0.1:1,127.50.0.2:1
+`
+
+func writeSettings(t *testing.T, text string) string {
+	path := filepath.Join(t.TempDir(), "settings.ini")
+	NewWithT(t).Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+	return path
+}
+
+// Guards against a daemon that starts with settings that it cannot use, and against messages
+// that do not say where the mistake is.
+func TestBadSettings(t *testing.T) {
+	for _, c := range []struct{ from, to, want string }{
+		{"name = front-1", "name =", "name"},
+		{"127.50.0.1:7701", "127.50.0.1", "packet-address"},
+		{"127.50.0.1:7702", "[::1]:7702", "ready-address"},
+		{"127.50.0.1:1,", "nowhere,", "seeds"},
+		{"zone = schuur", "zone = schuur\ngrace-seconds = 0", "grace-seconds"},
+		{"zone = schuur", "zone = schuur\ndrain-bound-ms = 10", "drain-bound-ms"},
+		{"zone = schuur", "zone = schuur\nlog-lines = 0", "log-lines"},
+		{"zone = schuur", "zone = schuur\nlog-level = loud", "log-level"},
+		{"zone = schuur", "zone = schuur\nnew-setting = 1", "new-setting"},
+	} {
+		t.Run(c.to, func(t *testing.T) {
+			g := NewWithT(t)
+			path := writeSettings(t, strings.Replace(goodFile, c.from, c.to, 1))
+			_, err := ParseSettings([]string{"--settings-file", path})
+			g.Expect(err).To(MatchError(ContainSubstring(c.want)))
+			var setting *SettingError
+			if errors.As(err, &setting) {
+				g.Expect(setting.File).To(Equal(path))
+			}
+		})
+	}
+}
+
+// Guards against a file that overrides what an operator gave on the command line.
+func TestFlagsWinOverTheFile(t *testing.T) {
+	g := NewWithT(t)
+	path := writeSettings(t, goodFile)
+	s, err := ParseSettings([]string{"--settings-file", path, "--zone", "winkel"})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Zone).To(Equal("winkel"))
+	g.Expect(s.Name).To(Equal("front-1"))
+	seeds, err := s.seedAddresses()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(seeds).To(HaveLen(2))
+	_, err = ParseSettings([]string{"--settings-file", filepath.Join(t.TempDir(), "absent")})
+	g.Expect(err).To(MatchError(os.ErrNotExist))
+}
+
+// Guards against a template whose names the program does not know: the deployment would not
+// start.
+func TestTemplateNamesKnownSettings(t *testing.T) {
+	g := NewWithT(t)
+	template, err := os.ReadFile("../deploy/settings.ini.template")
+	g.Expect(err).NotTo(HaveOccurred())
+	known := map[string]string{}
+	for line := range strings.SplitSeq(goodFile, "\n") {
+		name, value, _ := strings.Cut(line, " = ")
+		known[name] = value
+	}
+	var filled strings.Builder
+	for line := range strings.SplitSeq(strings.TrimSpace(string(template)), "\n") {
+		name, _, _ := strings.Cut(line, " = ")
+		value, isKnown := known[name]
+		if !isKnown {
+			value = "3000"
+		}
+		if name == "grace-seconds" {
+			value = "6"
+		}
+		filled.WriteString(name + " = " + value + "\n")
+	}
+	_, err = ParseSettings([]string{"--settings-file", writeSettings(t, filled.String())})
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
+// Guards against a changed address that is taken for one that is in force.
+func TestNeedsRestart(t *testing.T) {
+	g := NewWithT(t)
+	a, err := ParseSettings([]string{"--settings-file", writeSettings(t, goodFile)})
+	g.Expect(err).NotTo(HaveOccurred())
+	b := *a
+	b.LogLevel, b.GraceSeconds, b.Seeds = "warn", 9, nil
+	g.Expect(a.needsRestart(&b)).To(BeEmpty())
+	b.PacketAddress = "127.50.0.1:9"
+	g.Expect(a.needsRestart(&b)).To(ConsistOf("packet-address"))
+}
