--- a/edge/packets.go
+++ b/edge/packets.go
@@ -10,7 +10,6 @@
 
 	"github.com/fulmarfield/fulmarfield/catalog"
 	"github.com/fulmarfield/fulmarfield/inband"
-	"github.com/fulmarfield/fulmarfield/internal/wait"
 	"github.com/fulmarfield/fulmarfield/platform"
 	"github.com/fulmarfield/fulmarfield/telemetry"
 	"github.com/fulmarfield/fulmarfield/wire"
@@ -44,10 +43,8 @@
 // run handles packets until the connection is closed.
 func (l *packetLoop) run(ctx context.Context) error {
 	deadline := time.Now().Add(firstStateWait)
-	for !l.catalog.Current().IsComplete() && time.Now().Before(deadline) {
-		if wait.For(ctx, statePoll) != nil {
-			return nil
-		}
+	for ctx.Err() == nil && !l.catalog.Current().IsComplete() && time.Now().Before(deadline) {
+		time.Sleep(statePoll)
 	}
 	batch := make([]wire.Datagram, batchSize)
 	for {
--- a/inband/steerer.go
+++ b/inband/steerer.go
@@ -174,36 +174,17 @@
 	fate := snapshot.Fate(u.Key, now)
 	if fate == catalog.FateGone {
 		s.forget(p.Flow)
-		if p.Resets {
-			return drop(ReasonUpstreamGone)
-		}
-		return reset(ReasonUpstreamGone)
+		return refuse(p, ReasonUpstreamGone)
 	}
 	f := s.flows[p.Flow]
 	if f == nil || f.upstream.Key != u.Key {
 		f = &flow{upstream: u}
 		s.remember(p.Flow, f)
 	}
-	route := snapshot.Route(p.Flow.Service())
-	isRepeatable := route != nil && route.Kind.IsRepeatable()
-	wasBusy := f.isBusy
-	seen := f.observe(p, now)
-	s.countBusy(u.Key, wasBusy, f.isBusy)
-	switch seen {
-	case eventProgress:
-		s.tracker.Progress(u.Key, now)
-	case eventRetransmission:
-		wasDead := s.tracker.IsDead(u.Key, now)
-		isDead := s.tracker.Retransmitted(u.Key, p.Flow.Hash(), f.copies, f.sentAt, now)
-		if !wasDead && s.tracker.IsDead(u.Key, now) {
-			s.endIdle(u.Key, now)
-		}
-		if isDead && isRepeatable {
-			s.forget(p.Flow)
-			return reset(ReasonUpstreamDead)
-		}
-	}
-	if p.PayloadBytes > 0 && isRepeatable && s.tracker.IsDead(u.Key, now) {
+	isDead := s.learn(f, p, now)
+	// Only requests that may be repeated are better off with a reset: their callers try again on
+	// a new flow.
+	if route := snapshot.Route(p.Flow.Service()); isDead && route != nil && route.Kind.IsRepeatable() {
 		s.forget(p.Flow)
 		return reset(ReasonUpstreamDead)
 	}
@@ -216,6 +197,27 @@
 	return forward(u, ReasonOpen)
 }
 
+// learn takes a packet of an open flow into account. It reports whether the packet has data that
+// the flow's upstream will not answer.
+func (s *Steerer) learn(f *flow, p platform.Packet, now time.Time) bool {
+	upstream := f.upstream.Key
+	wasBusy := f.isBusy
+	seen := f.observe(p, now)
+	s.countBusy(upstream, wasBusy, f.isBusy)
+	isDead := false
+	switch seen {
+	case eventProgress:
+		s.tracker.Progress(upstream, now)
+	case eventRetransmission:
+		wasDead := s.tracker.IsDead(upstream, now)
+		isDead = s.tracker.Retransmitted(upstream, p.Flow.Hash(), f.copies, f.sentAt, now)
+		if !wasDead && s.tracker.IsDead(upstream, now) {
+			s.endIdle(upstream, now)
+		}
+	}
+	return isDead || p.PayloadBytes > 0 && s.tracker.IsDead(upstream, now)
+}
+
 // endIdle ends the idle flows of an upstream that does not answer.
 func (s *Steerer) endIdle(upstream uint64, now time.Time) {
 	for key, f := range s.flows {
@@ -248,10 +250,7 @@
 		return v
 	}
 	s.forget(p.Flow)
-	if p.Resets {
-		return drop(ReasonUnknownToken)
-	}
-	return reset(ReasonUnknownToken)
+	return refuse(p, ReasonUnknownToken)
 }
 
 func (s *Steerer) remember(key wire.FlowKey, f *flow) {
--- a/inband/verdict.go
+++ b/inband/verdict.go
@@ -1,6 +1,9 @@
 package inband
 
-import "github.com/fulmarfield/fulmarfield/catalog"
+import (
+	"github.com/fulmarfield/fulmarfield/catalog"
+	"github.com/fulmarfield/fulmarfield/platform"
+)
 
 // Action is what happens to a packet.
 type Action uint8
@@ -59,3 +62,11 @@
 func forward(u *catalog.Upstream, r Reason) Verdict {
 	return Verdict{Action: ActionForward, Reason: r, Upstream: u}
 }
+
+// refuse answers a packet of a flow that has ended, unless the caller ends it just now.
+func refuse(p platform.Packet, r Reason) Verdict {
+	if p.Resets {
+		return drop(r)
+	}
+	return reset(r)
+}
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -106,7 +107,7 @@
 			}
 		}
 		if err != nil {
-			if err == io.EOF && !isLost {
+			if errors.Is(err, io.EOF) && !isLost {
 				_ = to.Close()
 			}
 			return
