--- a/inband/steerer.go
+++ b/inband/steerer.go
@@ -126,7 +126,7 @@
 			return forward(f.upstream, ReasonPlacedAgain)
 		}
 		if isCopy {
-			s.tracker.OpeningCopied(f.upstream.Key, now)
+			s.tracker.OpeningCopied(f.upstream.Key, f.lastSeen, now)
 		}
 	}
 	route := snapshot.Route(p.Flow.Service())
--- a/inband/steerer_test.go
+++ b/inband/steerer_test.go
@@ -250,6 +250,29 @@
 	w.Expect(ended).To(ConsistOf(idle.Flow, feed.Flow))
 }
 
+// Guards against flows that end because this VM stood still: data and its retransmissions waited
+// in the socket and are read at once (soak, seed 157).
+func TestPausedDaemonEndsNoFlow(t *testing.T) {
+	w := newWorld(t, upstream("a", "bindery", "schuur"), upstream("b", "bindery", "winkel"))
+	first, _ := w.open(orders)
+	second, _ := w.open(orders)
+	w.open(bindery)
+	w.wait(2 * time.Second)
+	opening := platform.Packet{Flow: w.key(bindery), Opens: true}
+	for range 4 {
+		for _, p := range []platform.Packet{withData(first), withData(second), opening} {
+			w.Expect(w.decide(p).Action).To(Equal(inband.ActionForward))
+		}
+		opening.Acknowledged++
+	}
+	w.Expect(w.steerer.TakeEnded()).To(BeEmpty())
+	first.Finishes, second.Finishes = true, true
+	w.decide(first)
+	w.decide(second)
+	_, placed := w.open(bindery)
+	w.Expect(placed.ID).To(Equal("a"), "it is not suspect either")
+}
+
 // Guards against flows of an upstream that has ended whose callers learn it from a lost request.
 func TestFlowsOfGoneUpstreamEnd(t *testing.T) {
 	w := newWorld(t, upstream("a", "bindery", "schuur"))
--- a/suspicion/suspicion.go
+++ b/suspicion/suspicion.go
@@ -19,6 +19,11 @@
 	// CopiesUntilDead is the retransmission, 600 ms after the data was first sent, from which
 	// on a flow counts as dead if its upstream shows no progress on others either.
 	CopiesUntilDead = 2
+	// soonestCopy and deadAfter are how long after data its retransmissions can come that say
+	// something of the upstream: callers send them after 200 ms and 600 ms. Sooner ones were
+	// queued on this VM while it stood still.
+	soonestCopy = 150 * time.Millisecond
+	deadAfter   = 500 * time.Millisecond
 	// deadFor is how long an upstream counts as dead after the last sign of it. The longest gap
 	// between the first retransmissions of a flow is 800 ms.
 	deadFor = time.Second
@@ -73,8 +78,12 @@
 	clear(r.stalled)
 }
 
-// OpeningCopied notes that a caller repeated an opening packet that went to the upstream.
-func (t *Tracker) OpeningCopied(upstream uint64, now time.Time) {
+// OpeningCopied notes that a caller repeated an opening packet that went to the upstream at a
+// time.
+func (t *Tracker) OpeningCopied(upstream uint64, sentAt, now time.Time) {
+	if now.Sub(sentAt) < soonestCopy {
+		return
+	}
 	t.of(upstream).suspectUntil = now.Add(suspectFor)
 }
 
@@ -94,11 +103,14 @@
 // time. It reports whether the flow's upstream counts as dead for it.
 func (t *Tracker) Retransmitted(upstream, flow uint64, copies int, sentAt, now time.Time) bool {
 	r := t.of(upstream)
+	if now.Sub(sentAt) < soonestCopy {
+		return false
+	}
 	r.stalled[flow] = struct{}{}
 	if now.Sub(r.progressAt) <= quietBefore {
 		return false
 	}
-	isDead := copies >= CopiesUntilDead
+	isDead := copies >= CopiesUntilDead && now.Sub(sentAt) >= deadAfter
 	if isDead || len(r.stalled) >= stalledFlows {
 		r.suspectUntil = now.Add(suspectFor)
 	}
