--- a/discovery/belief.go
+++ b/discovery/belief.go
@@ -57,6 +57,7 @@
 	switch {
 	case c.Digest == m.digest:
 		b.differsSince = time.Time{}
+		m.asOf = max(m.asOf, c.AsOf)
 		if c.ConfirmedAt.After(b.confirmedAt) {
 			b.confirmedAt = c.ConfirmedAt
 		}
--- a/discovery/belief_test.go
+++ b/discovery/belief_test.go
@@ -44,6 +44,7 @@
 	m := newMirror()
 	m.replace(store.Listing{Records: []store.Record{record("a", 7)}, AsOf: 8})
 	g.Expect(m.apply(store.Changes{Changes: []store.Change{{Record: record("a", 6)}}, AsOf: 6})).To(BeEmpty())
+	g.Expect(m.apply(store.Changes{Changes: []store.Change{{Record: record("a", 6), Deleted: true}}, AsOf: 6})).To(BeEmpty(), "it was written again since")
 	g.Expect(m.records["a"].Version).To(Equal(store.Version(7)))
 	g.Expect(m.asOf).To(Equal(store.Version(8)))
 }
@@ -64,6 +65,28 @@
 	g.Expect(b.confirmedAt).To(Equal(at(1000)), "an older claim says nothing")
 }
 
+// Guards against a daemon that lists because its watch began before the store's history: one with
+// the same records knows from where to go on.
+func TestClaimAdvancesTheVersion(t *testing.T) {
+	g := NewWithT(t)
+	m, b := newMirror(), &belief{}
+	m.replace(store.Listing{Records: []store.Record{record("a", 5)}, AsOf: 5})
+	b.tookList(at(0), true)
+	b.tookClaim(Claim{Digest: m.digest, AsOf: 90, ConfirmedAt: at(100)}, m, at(100))
+	g.Expect(m.asOf).To(Equal(store.Version(90)))
+	b.tookClaim(Claim{Digest: m.digest + 1, AsOf: 95, ConfirmedAt: at(200)}, m, at(200))
+	g.Expect(m.asOf).To(Equal(store.Version(90)), "other records")
+}
+
+// Guards against a fleet that overruns a store that is down, and a small one that notices its
+// return late.
+func TestPausesOfFailedCalls(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(longestPause(0)).To(Equal(time.Second))
+	g.Expect(longestPause(64)).To(BeNumerically("~", 2560*time.Millisecond, time.Millisecond))
+	g.Expect(longestPause(7900)).To(Equal(4 * time.Second))
+}
+
 // Guards against a daemon that stays behind although another one knows more, against one that
 // reads at once what its watch is about to show, and against one that follows an older copy.
 func TestClaimOfOtherRecords(t *testing.T) {
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -25,16 +25,23 @@
 	// watchWait is the length of a long poll, below the 30 s that the store takes. Watches only
 	// tell of changes early; what they show is confirmed by lists.
 	watchWait = 25 * time.Second
-	// settle is the pause after changes, in which more of them gather into one call. It is
-	// small against the seconds in which a change must hold.
-	settle = 150 * time.Millisecond
+	// settleShare is the least pause after changes, in which more of them gather into one call, as
+	// a share of the time in which a change must hold. The longest is twice as long.
+	settleShare = 0.12
+	// firstHeardWait is how long a starting daemon waits for others, some times the way between
+	// zones, and firstRecordsWait for the records of one.
+	firstHeardWait   = 5 * time.Millisecond
+	firstRecordsWait = 40 * time.Millisecond
 	// minListInterval bounds the lists that packets can cause; a caller repeats its packet
 	// after 200 ms and 600 ms.
 	minListInterval = 300 * time.Millisecond
 	// Back-off of calls that failed. The longest pause is half of the 2 s after an outage in
-	// which lapsed upstreams come back. The first daemon that is served again tells the others.
-	firstBackoff = 50 * time.Millisecond
-	maxBackoff   = time.Second
+	// which lapsed upstreams come back. The first daemon that is served again tells the others, so
+	// that of many daemons each may ask less often, up to the 4 s for which a store must be calm.
+	firstBackoff     = 50 * time.Millisecond
+	maxBackoff       = time.Second
+	backoffPerDaemon = 40 * time.Millisecond
+	longestBackoff   = 4 * time.Second
 )
 
 // Source lists the records that another daemon holds.
@@ -76,8 +83,9 @@
 	source  Source
 	// wake ends the wait for the next list early.
 	wake map[store.Kind]chan struct{}
-	// listed wakes the watch of a kind after a list.
-	listed map[store.Kind]chan struct{}
+	// advanced wakes the watch of a kind when the version of the copy has risen, behind ends its
+	// pause when another daemon knows more.
+	advanced, behind map[store.Kind]chan struct{}
 
 	mu    sync.Mutex
 	kinds map[store.Kind]*kindState
@@ -95,12 +103,13 @@
 // NewFollower returns a Follower that has read nothing.
 func NewFollower(o Options) *Follower {
 	f := &Follower{
-		options: o, wake: map[store.Kind]chan struct{}{}, listed: map[store.Kind]chan struct{}{},
-		kinds: map[store.Kind]*kindState{}, wanted: map[store.Kind]bool{},
+		options: o, wake: map[store.Kind]chan struct{}{}, advanced: map[store.Kind]chan struct{}{},
+		behind: map[store.Kind]chan struct{}{}, kinds: map[store.Kind]*kindState{}, wanted: map[store.Kind]bool{},
 	}
 	for _, kind := range Kinds() {
 		f.wake[kind] = make(chan struct{}, 1)
-		f.listed[kind] = make(chan struct{}, 1)
+		f.advanced[kind] = make(chan struct{}, 1)
+		f.behind[kind] = make(chan struct{}, 1)
 		f.kinds[kind] = &kindState{mirror: newMirror()}
 	}
 	return f
@@ -116,12 +125,31 @@
 func (f *Follower) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	for _, kind := range Kinds() {
-		group.Go(func() error { return f.keepConfirmed(ctx, kind) })
+		group.Go(func() error {
+			f.learnFirst(ctx, kind)
+			return f.keepConfirmed(ctx, kind)
+		})
 		group.Go(func() error { return f.watch(ctx, kind) })
 	}
 	return group.Wait()
 }
 
+// learnFirst asks another daemon for its records before the store is asked, so that a daemon that
+// starts alone among others costs no calls. When all start at once, nobody is heard in time.
+func (f *Follower) learnFirst(ctx context.Context, kind store.Kind) {
+	if f.source == nil {
+		return
+	}
+	for end := time.Now().Add(firstHeardWait); f.daemons() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) || ctx.Err() != nil {
+			return
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, firstRecordsWait)
+	defer cancel()
+	f.listFromDaemon(ctx, kind)
+}
+
 // keepConfirmed lists a kind whenever nothing else has confirmed the copy for too long.
 func (f *Follower) keepConfirmed(ctx context.Context, kind store.Kind) error {
 	delays := newBackoff()
@@ -139,6 +167,7 @@
 		}
 		f.lost(kind, err)
 		f.listFromDaemon(ctx, kind)
+		delays.MaxInterval = longestPause(f.daemons())
 		if err := wait.For(ctx, delays.NextBackOff()); err != nil {
 			return err
 		}
@@ -177,6 +206,11 @@
 	}
 }
 
+// longestPause returns the longest pause between failed calls of one of many daemons.
+func longestPause(daemons int) time.Duration {
+	return min(max(maxBackoff, time.Duration(daemons)*backoffPerDaemon), longestBackoff)
+}
+
 func (f *Follower) listFromStore(ctx context.Context, kind store.Kind) error {
 	f.mu.Lock()
 	f.wanted[kind] = false
@@ -221,16 +255,12 @@
 	k.lists++
 	k.belief.tookList(at, fromStore)
 	k.spread = spread(rand.Float64(), f.daemons())
-	regained := fromStore && k.answersSince.IsZero()
-	if regained {
-		k.answersSince = time.Now()
-	}
 	f.apply(kind, k.mirror.replace(l), isFirst, fromStore)
 	f.mu.Unlock()
-	if regained {
-		f.options.Logger.Info().Str("event", "store_regained").Str("kind", string(kind)).Send()
+	if fromStore {
+		f.regained(kind)
 	}
-	notify(f.listed[kind])
+	notify(f.advanced[kind])
 }
 
 func (f *Follower) daemons() int {
@@ -240,6 +270,19 @@
 	return f.source.Daemons()
 }
 
+// regained notes that the store answers.
+func (f *Follower) regained(kind store.Kind) {
+	f.mu.Lock()
+	isNews := f.kinds[kind].answersSince.IsZero()
+	if isNews {
+		f.kinds[kind].answersSince = time.Now()
+	}
+	f.mu.Unlock()
+	if isNews {
+		f.options.Logger.Info().Str("event", "store_regained").Str("kind", string(kind)).Send()
+	}
+}
+
 // lost notes that the store does not answer.
 func (f *Follower) lost(kind store.Kind, err error) {
 	f.options.Counters.Count("retry.store_" + string(kind))
@@ -256,51 +299,69 @@
 }
 
 // watch takes over changes as the store tells of them. An answer without changes proves nothing:
-// while the store drops its history, watches miss changes.
+// while the store drops its history, watches miss changes. A broken watch asks for no list either,
+// since the copy is confirmed or read in good time anyway.
 func (f *Follower) watch(ctx context.Context, kind store.Kind) error {
 	delays := newBackoff()
-	isBroken := false
 	for {
 		f.mu.Lock()
 		after, lists := f.kinds[kind].mirror.asOf, f.kinds[kind].lists
 		f.mu.Unlock()
 		if lists == 0 {
-			if err := f.waitForList(ctx, kind); err != nil {
+			if err := f.waitForAdvance(ctx, kind); err != nil {
 				return err
 			}
 			continue
 		}
 		c, err := f.options.Store.WatchKind(ctx, kind, after, watchWait)
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			return ctx.Err()
-		}
-		// Changes may have been missed when a watch breaks off, and until it works again.
-		if isBroken != (err != nil) || errors.Is(err, store.ErrExpired) {
-			f.want(kind)
-		}
-		isBroken = err != nil
-		pause := time.Duration(0)
-		if isBroken {
+		case errors.Is(err, store.ErrExpired):
+			f.options.Counters.Count("retry.watch_expired")
+			if err := f.waitForAdvance(ctx, kind); err != nil {
+				return err
+			}
+		case err != nil:
 			f.options.Counters.Count("retry.watch_" + string(kind))
 			f.options.Logger.Debug().Str("event", "watch_ended").Str("kind", string(kind)).Err(err).Send()
-			pause = delays.NextBackOff()
-		} else {
+			delays.MaxInterval = longestPause(f.daemons())
+			if err := wait.For(ctx, delays.NextBackOff()); err != nil {
+				return err
+			}
+		default:
 			delays.Reset()
+			f.regained(kind)
 			if f.tookChanges(kind, c, lists) > 0 {
-				pause = settle + rand.N(settle)
+				f.settle(ctx, kind)
 			}
 		}
-		if err := wait.For(ctx, pause); err != nil {
-			return err
-		}
 	}
 }
 
-func (f *Follower) waitForList(ctx context.Context, kind store.Kind) error {
+// settle waits for more changes, or until another daemon knows more.
+func (f *Follower) settle(ctx context.Context, kind store.Kind) {
+	select {
+	case <-f.behind[kind]: // It knew more before the changes that were just taken over.
+	default:
+	}
+	least := time.Duration(settleShare * float64(f.options.Bound))
+	timer := time.NewTimer(least + rand.N(least))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-f.behind[kind]:
+	}
+}
+
+// waitForAdvance waits for a list, or for a daemon with the same records that knows them of a
+// later version.
+func (f *Follower) waitForAdvance(ctx context.Context, kind store.Kind) error {
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
-	case <-f.listed[kind]:
+	case <-f.advanced[kind]:
 		return nil
 	}
 }
@@ -335,10 +396,14 @@
 	if k == nil || k.lists == 0 {
 		return false
 	}
-	before, differs := k.belief.confirmedAt, k.belief.differsSince
+	before, differs, asOf := k.belief.confirmedAt, k.belief.differsSince, k.mirror.asOf
 	k.belief.tookClaim(c, k.mirror, time.Now())
+	if k.mirror.asOf > asOf {
+		notify(f.advanced[c.Kind])
+	}
 	if !k.belief.differsSince.Equal(differs) {
 		notify(f.wake[c.Kind])
+		notify(f.behind[c.Kind])
 	}
 	if k.belief.confirmedAt.Sub(before) < news {
 		return false
@@ -407,13 +472,7 @@
 	return false
 }
 
-// want asks for a list of a kind now.
-func (f *Follower) want(kind store.Kind) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.wantLocked(kind)
-}
-
+// wantLocked asks for a list of a kind now.
 func (f *Follower) wantLocked(kind store.Kind) {
 	f.wanted[kind] = true
 	notify(f.wake[kind])
--- a/discovery/mirror.go
+++ b/discovery/mirror.go
@@ -57,7 +57,7 @@
 	for _, change := range c.Changes {
 		old, known := m.records[change.Record.Name]
 		switch {
-		case change.Deleted && known:
+		case change.Deleted && known && old.Version <= change.Record.Version:
 			m.remove(change.Record.Name)
 		case !change.Deleted && (!known || old.Version < change.Record.Version):
 			m.put(change.Record)
