One breaker for all calls of a daemon to the store

Each daemon's four tasks backed off on their own, so that 93 daemons made 700 calls while the store was away for 5 s, and a daemon that another one had overtaken listed although its watch was only pausing.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -35,13 +35,11 @@
 	// minListInterval bounds the lists that packets can cause; a caller repeats its packet
 	// after 200 ms and 600 ms.
 	minListInterval = 300 * time.Millisecond
-	// Back-off of calls that failed. The longest pause is half of the 2 s after an outage in
-	// which lapsed upstreams come back. The first daemon that is served again tells the others, so
-	// that of many daemons each may ask less often, up to the 4 s for which a store must be calm.
-	firstBackoff     = 50 * time.Millisecond
-	maxBackoff       = time.Second
-	backoffPerDaemon = 40 * time.Millisecond
-	longestBackoff   = 4 * time.Second
+	// Back-off of watches that broke off, and of calls to other daemons.
+	firstBackoff = 50 * time.Millisecond
+	maxBackoff   = time.Second
+	// openPoll is how often a watch looks whether the store answers again.
+	openPoll = 100 * time.Millisecond
 )
 
 // Source lists the records that another daemon holds.
@@ -69,9 +67,6 @@
 	belief belief
 	// lists counts complete lists, so that a watch notices one that came in between.
 	lists int
-	// answersSince is when the store began to answer after it had not, the zero time while it
-	// does not answer.
-	answersSince time.Time
 	// spread is drawn anew after each confirmation.
 	spread float64
 }
@@ -81,6 +76,7 @@
 type Follower struct {
 	options Options
 	source  Source
+	breaker breaker
 	// wake ends the wait for the next list early.
 	wake map[store.Kind]chan struct{}
 	// advanced wakes the watch of a kind when the version of the copy has risen, behind ends its
@@ -150,30 +146,42 @@
 	f.listFromDaemon(ctx, kind)
 }
 
-// keepConfirmed lists a kind whenever nothing else has confirmed the copy for too long.
+// keepConfirmed lists a kind whenever nothing else has confirmed the copy for too long. While the
+// store does not answer, it asks a daemon that knows more.
 func (f *Follower) keepConfirmed(ctx context.Context, kind store.Kind) error {
 	delays := newBackoff()
 	for {
 		if err := f.waitUntilDue(ctx, kind); err != nil {
 			return err
 		}
-		err := f.listFromStore(ctx, kind)
-		if err == nil {
-			delays.Reset()
-			continue
+		if f.breaker.allows(time.Now()) {
+			err := f.listFromStore(ctx, kind)
+			if err == nil {
+				delays.Reset()
+				continue
+			}
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			f.lost(kind, err)
 		}
-		if ctx.Err() != nil {
-			return ctx.Err()
+		if f.isBehind(kind) {
+			f.listFromDaemon(ctx, kind)
 		}
-		f.lost(kind, err)
-		f.listFromDaemon(ctx, kind)
-		delays.MaxInterval = longestPause(f.daemons())
 		if err := wait.For(ctx, delays.NextBackOff()); err != nil {
 			return err
 		}
 	}
 }
 
+// isBehind reports whether another daemon may have newer records.
+func (f *Follower) isBehind(kind store.Kind) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	k := f.kinds[kind]
+	return k.lists == 0 || !k.belief.differsSince.IsZero()
+}
+
 // waitUntilDue returns when a kind is to be listed.
 func (f *Follower) waitUntilDue(ctx context.Context, kind store.Kind) error {
 	for {
@@ -206,11 +214,6 @@
 	}
 }
 
-// longestPause returns the longest pause between failed calls of one of many daemons.
-func longestPause(daemons int) time.Duration {
-	return min(max(maxBackoff, time.Duration(daemons)*backoffPerDaemon), longestBackoff)
-}
-
 func (f *Follower) listFromStore(ctx context.Context, kind store.Kind) error {
 	f.mu.Lock()
 	f.wanted[kind] = false
@@ -258,7 +261,7 @@
 	f.apply(kind, k.mirror.replace(l), isFirst, fromStore)
 	f.mu.Unlock()
 	if fromStore {
-		f.regained(kind)
+		f.answered()
 	}
 	notify(f.advanced[kind])
 }
@@ -270,31 +273,19 @@
 	return f.source.Daemons()
 }
 
-// regained notes that the store answers.
-func (f *Follower) regained(kind store.Kind) {
-	f.mu.Lock()
-	isNews := f.kinds[kind].answersSince.IsZero()
-	if isNews {
-		f.kinds[kind].answersSince = time.Now()
-	}
-	f.mu.Unlock()
-	if isNews {
-		f.options.Logger.Info().Str("event", "store_regained").Str("kind", string(kind)).Send()
+// answered notes that the store answers.
+func (f *Follower) answered() {
+	if f.breaker.answered(time.Now()) {
+		f.options.Logger.Info().Str("event", "store_regained").Send()
 	}
 }
 
 // lost notes that the store does not answer.
 func (f *Follower) lost(kind store.Kind, err error) {
 	f.options.Counters.Count("retry.store_" + string(kind))
-	f.mu.Lock()
-	k := f.kinds[kind]
-	isNews := !k.answersSince.IsZero() || k.lists == 0
-	k.answersSince = time.Time{}
-	age := time.Since(k.belief.confirmedAt)
-	f.mu.Unlock()
-	if isNews {
+	if f.breaker.failed(time.Now(), f.daemons()) {
 		f.options.Logger.Warn().Str("event", "store_lost").Str("kind", string(kind)).
-			Dur("confirmed_ago_ms", age).Err(err).Send()
+			Dur("confirmed_ago_ms", time.Since(f.ConfirmedAt(kind))).Err(err).Send()
 	}
 }
 
@@ -313,6 +304,14 @@
 			}
 			continue
 		}
+		wasOpen := f.breaker.isOpen()
+		if wasOpen && !f.breaker.allows(time.Now()) {
+			f.pause(ctx, kind, openPoll)
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			continue
+		}
 		c, err := f.options.Store.WatchKind(ctx, kind, after, watchWait)
 		switch {
 		case ctx.Err() != nil:
@@ -325,13 +324,13 @@
 		case err != nil:
 			f.options.Counters.Count("retry.watch_" + string(kind))
 			f.options.Logger.Debug().Str("event", "watch_ended").Str("kind", string(kind)).Err(err).Send()
-			delays.MaxInterval = longestPause(f.daemons())
-			if err := wait.For(ctx, delays.NextBackOff()); err != nil {
-				return err
+			if wasOpen {
+				f.lost(kind, err)
 			}
+			f.pause(ctx, kind, delays.NextBackOff())
 		default:
 			delays.Reset()
-			f.regained(kind)
+			f.answered()
 			if f.tookChanges(kind, c, lists) > 0 {
 				f.settle(ctx, kind)
 			}
@@ -346,7 +345,12 @@
 	default:
 	}
 	least := time.Duration(settleShare * float64(f.options.Bound))
-	timer := time.NewTimer(least + rand.N(least))
+	f.pause(ctx, kind, least+rand.N(least))
+}
+
+// pause waits for a time that ends early when another daemon knows more.
+func (f *Follower) pause(ctx context.Context, kind store.Kind, d time.Duration) {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -459,14 +463,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	k := f.kinds[platform.KindUpstreams]
-	if k.answersSince.IsZero() {
+	answersSince := f.breaker.answering()
+	if answersSince.IsZero() {
 		return false
 	}
 	listed := k.belief.listedAt
-	if listed.After(t) && listed.Sub(k.answersSince) >= catalog.LapseGrace {
+	if listed.After(t) && listed.Sub(answersSince) >= catalog.LapseGrace {
 		return true
 	}
-	if min(time.Since(listed), time.Since(k.answersSince)-catalog.LapseGrace) >= minListInterval {
+	if min(time.Since(listed), time.Since(answersSince)-catalog.LapseGrace) >= minListInterval {
 		f.wantLocked(platform.KindUpstreams)
 	}
 	return false
