Go on after a page that the store refuses for its rate

All daemons list at once, 60 pages each with 3,000 upstreams; the store refuses what is beyond its rate, and a list that begins anew at each refusal is never complete. A page is asked for again after a pause now; a first page is not, so that a daemon asks another one instead.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -219,7 +219,7 @@
 	f.wanted[kind] = false
 	f.mu.Unlock()
 	began := time.Now()
-	l, err := f.options.Store.ListKind(ctx, kind)
+	l, err := f.list(ctx, kind)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/discovery/list_test.go
@@ -0,0 +1,70 @@
+package discovery
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/fulmarfield/fulmarfield/catalog"
+	"github.com/fulmarfield/fulmarfield/store"
+	"github.com/fulmarfield/fulmarfield/telemetry"
+)
+
+// pagedStore serves pages of one record and refuses some calls for its rate.
+type pagedStore struct {
+	records int
+	calls   int
+	refuses func(call int) bool
+}
+
+func (s *pagedStore) ListPage(_ context.Context, _ store.Kind, after string) (store.Page, error) {
+	s.calls++
+	if s.refuses(s.calls) {
+		return store.Page{}, store.ErrRateLimited
+	}
+	n := 0
+	if after != "" {
+		var err error
+		if n, err = strconv.Atoi(after); err != nil {
+			return store.Page{}, err
+		}
+	}
+	name := fmt.Sprintf("%04d", n+1)
+	p := store.Page{Records: []store.Record{{Name: name, Version: 1}}, AsOf: store.Version(10 + n)}
+	if n+1 < s.records {
+		p.Next = name
+	}
+	return p, nil
+}
+
+func (s *pagedStore) WatchKind(ctx context.Context, _ store.Kind, _ store.Version, _ time.Duration) (store.Changes, error) {
+	<-ctx.Done()
+	return store.Changes{}, ctx.Err()
+}
+
+// Guards against a fleet that never starts: when all daemons list at once, the store refuses most
+// pages, and a list that begins anew at each refusal is never complete. Guards also against a
+// first page that is asked for again and again while another daemon could be asked.
+func TestListGoesOnAfterRefusedPages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := &pagedStore{records: 60, refuses: func(call int) bool { return call%2 == 0 }}
+		f := NewFollower(Options{Store: s, Catalog: catalog.New(time.Now), Counters: telemetry.NewCounters(), Logger: zerolog.Nop()})
+		l, err := f.list(t.Context(), "servers")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(l.Records).To(HaveLen(60))
+		g.Expect(l.AsOf).To(Equal(store.Version(10)), "of the first page")
+		g.Expect(s.calls).To(BeNumerically("<=", 120))
+		s.refuses = func(int) bool { return true }
+		s.calls = 0
+		_, err = f.list(t.Context(), "servers")
+		g.Expect(err).To(MatchError(store.ErrRateLimited))
+		g.Expect(s.calls).To(Equal(1))
+	})
+}
--- a/store/collection.go
+++ b/store/collection.go
@@ -20,13 +20,21 @@
 	Body    []byte
 }
 
-// Listing is all records of a kind. A listing may be read in parts, so that it is no snapshot:
-// every change after AsOf must be watched for.
+// Listing is all records of a kind. It is read in pages, so that it is no snapshot: every change
+// after AsOf, which is that of the first page, must be watched for.
 type Listing struct {
 	Records []Record
 	AsOf    Version
 }
 
+// Page is a part of a listing, in the order of names.
+type Page struct {
+	Records []Record
+	AsOf    Version
+	// Next is the name after which the next page begins, "" after the last page.
+	Next string
+}
+
 // Change is a record that was written or, when Deleted is set, removed.
 type Change struct {
 	Record  Record
@@ -43,8 +51,8 @@
 // Collections is a store that keeps records by kind. All methods may be called concurrently;
 // they return errors that wrap the errors of this package, or the context's.
 type Collections interface {
-	// ListKind returns all records of a kind.
-	ListKind(ctx context.Context, kind Kind) (Listing, error)
+	// ListPage returns the records of a kind whose names come after a name, as many as fit.
+	ListPage(ctx context.Context, kind Kind, after string) (Page, error)
 	// WatchKind waits at most wait for changes after a version. It returns ErrExpired when
 	// the version is too old. No changes are not proof that there were none.
 	WatchKind(ctx context.Context, kind Kind, after Version, wait time.Duration) (Changes, error)
