Tell the story of a flow and the beliefs of daemons from their logs

fulmarctl logs flow and logs beliefs read lines of several daemons. Changes of the belief in an upstream have a line with the evidence, and lines on flows have the age of the state that decided them.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -78,6 +78,9 @@
 	}
 }
 
+// Upstream returns the registered upstream with a key, or nil.
+func (s *Snapshot) Upstream(key uint64) *Upstream { return s.registered[key] }
+
 // Fate returns what is known of an upstream.
 func (s *Snapshot) Fate(key uint64, now time.Time) Fate {
 	if s.registered[key] != nil {
--- /dev/null
+++ b/client/logs.go
@@ -0,0 +1,66 @@
+package client
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/fulmarfield/fulmarfield/logread"
+)
+
+const logsUsage = "logs needs: flow CALLER[>SERVICE] [FILE...], or beliefs TIME [FILE...] with a time as 2026-12-04T09:00:02.5Z; without files it reads standard input"
+
+// logs answers a question from daemons' logs and returns the exit status. It asks no daemon.
+func (p *Program) logs(args []string, out io.Writer) int {
+	if len(args) < 2 {
+		p.complain("%s\n", logsUsage)
+		return ExitUsage
+	}
+	at, timeErr := time.Parse(time.RFC3339Nano, args[1])
+	if args[0] != "flow" && (args[0] != "beliefs" || timeErr != nil) {
+		p.complain("%s\n", logsUsage)
+		return ExitUsage
+	}
+	lines, err := p.readLogs(args[2:])
+	if err != nil {
+		p.complain("%v\n", err)
+		return ExitUsage
+	}
+	found := 0
+	if args[0] == "flow" {
+		found, err = logread.Flow(out, lines, args[1])
+	} else {
+		found, err = logread.Beliefs(out, lines, at)
+	}
+	switch {
+	case err != nil:
+		p.complain("%v\n", err)
+		return ExitRefused
+	case found == 0:
+		p.complain("no line of the logs tells of it\n")
+		return ExitRefused
+	}
+	return ExitOK
+}
+
+func (p *Program) readLogs(files []string) ([]logread.Line, error) {
+	if len(files) == 0 {
+		return logread.Read("standard input", p.in)
+	}
+	var all []logread.Line
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, fmt.Errorf("read logs: %w", err)
+		}
+		lines, err := logread.Read(name, f)
+		// A file that was only read needs no check of its end.
+		_ = f.Close()
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
--- a/client/program.go
+++ b/client/program.go
@@ -52,7 +52,9 @@
   query WORDS...    one query, for example: query show upstreams of bindery
   command WORDS...  one command, for example: command drain upstream bindery-3
   run FILE          run a file of queries and commands, one on a line
-  prompt            read queries and commands from the terminal`
+  prompt            read queries and commands from the terminal
+  logs flow FLOW [FILE...]     the story of one flow, from logs of in-band daemons
+  logs beliefs TIME [FILE...]  what each in-band daemon believed at a time`
 
 // Program is one call of the client.
 type Program struct {
@@ -83,6 +85,9 @@
 	if err == nil && len(rest) == 0 {
 		err = errors.New("a command is needed; see --help")
 	}
+	if err == nil && rest[0] == "logs" {
+		return p.logs(rest[1:], out)
+	}
 	if err == nil {
 		err = p.connect(out)
 	}
--- a/edge/app.go
+++ b/edge/app.go
@@ -88,6 +88,7 @@
 	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	zerolog.TimeFieldFormat = timeFormat
 	output := newAsyncWriter(os.Stdout)
 	defer output.flush(flushTimeout)
 	logger := newLogger(output, settings.Name, settings.level())
@@ -146,7 +147,8 @@
 	f.Join(d.fleet, d.fleet.Tell)
 	d.loop = &packetLoop{
 		conn: conn, catalog: c, counters: n, logger: logger, lastPacket: &d.lastPacket,
-		budget: lineBudget{perSecond: s.LogLines},
+		budget:      lineBudget{perSecond: s.LogLines},
+		confirmedAt: func() time.Time { return f.ConfirmedAt(platform.KindUpstreams) },
 		steerer: inband.NewSteerer(inband.Options{
 			Zone: s.Zone, Catalog: c, Belief: f, Bound: s.bound(),
 			Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
--- a/edge/logging.go
+++ b/edge/logging.go
@@ -24,6 +24,7 @@
 	eventRestartNeeded   = "settings_need_restart"
 	eventLinesLeftOut    = "log_lines_left_out"
 	eventFlow            = "flow"
+	eventUpstreamBelief  = "upstream_belief"
 	eventFlowEnded       = "flow_ended"
 	eventPacketSendError = "packet_send_failed"
 )
@@ -89,6 +90,9 @@
 	return true
 }
 
+// timeFormat has milliseconds, since flows open within a few.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 func newLogger(w io.Writer, name string, level zerolog.Level) zerolog.Logger {
 	return zerolog.New(w).Level(level).With().Timestamp().Str("daemon", name).Logger()
 }
--- a/edge/packets.go
+++ b/edge/packets.go
@@ -34,6 +34,8 @@
 	counters *telemetry.Counters
 	logger   zerolog.Logger
 	budget   lineBudget
+	// confirmedAt returns when the upstreams were last known to be the newest.
+	confirmedAt func() time.Time
 	// out is reused for each datagram to an upstream.
 	out []byte
 	// lastPacket tells a leaving daemon when routers have stopped sending.
@@ -86,6 +88,7 @@
 		err = l.conn.Send(platform.CallerAddress(p.Flow, l.conn.LocalAddr().Port()), l.out)
 	}
 	l.sendFailed(p.Flow, err, now)
+	l.logBeliefs(now)
 	for _, e := range l.steerer.TakeEnded() {
 		l.counters.Count("ended." + e.Reason.String())
 		if l.takeLine(now) {
@@ -108,6 +111,19 @@
 	}
 }
 
+// logBeliefs writes a line for each change of the belief in an upstream.
+func (l *packetLoop) logBeliefs(now time.Time) {
+	for _, c := range l.steerer.TakeBeliefs() {
+		l.counters.Count("upstream." + c.Belief)
+		u := l.catalog.Current().Upstream(c.Upstream)
+		if u == nil || !l.takeLine(now) {
+			continue
+		}
+		l.logger.Info().Str("event", eventUpstreamBelief).Str("upstream", u.ID).Str("zone", u.Zone).
+			Str("belief", c.Belief).Str("evidence", c.Evidence).Send()
+	}
+}
+
 // takeLine reports whether a line on a single flow may be written, and tells how many were not.
 func (l *packetLoop) takeLine(now time.Time) bool {
 	if !l.budget.take(now) {
@@ -135,5 +151,5 @@
 	if c := l.catalog.Current().Config; c != nil {
 		line = line.Int64("generation", c.Version)
 	}
-	line.Send()
+	line.Int64("upstreams_age_ms", age(l.confirmedAt())).Int("flows", l.steerer.Flows()).Send()
 }
--- a/inband/steerer.go
+++ b/inband/steerer.go
@@ -101,6 +101,9 @@
 	return ended
 }
 
+// TakeBeliefs returns what has changed in the belief in upstreams since the last call.
+func (s *Steerer) TakeBeliefs() []suspicion.Change { return s.tracker.TakeChanges() }
+
 // Decide returns what to do with a packet.
 func (s *Steerer) Decide(p platform.Packet, now time.Time) Verdict {
 	s.maintain(now)
--- /dev/null
+++ b/logread/logread_test.go
@@ -0,0 +1,65 @@
+package logread_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fulmarfield/fulmarfield/logread"
+)
+
+const log = `something else
+  1.2 front-2 {"daemon":"front-2","event":"flow","flow":"100.64.0.7:1051>198.18.0.1:8443","action":"reset","reason":"upstream_dead","generation":7,"upstreams_age_ms":400,"time":"2026-12-04T09:00:02.500Z"}
+{"daemon":"front-1","event":"daemon_started","time":"2026-12-04T09:00:00.000Z"}
+{"daemon":"front-1","event":"configuration_changed","generation":7,"time":"2026-12-04T09:00:00.100Z"}
+{"daemon":"front-1","event":"upstreams_changed","as_of":31,"upstreams":17,"time":"2026-12-04T09:00:00.200Z"}
+{"daemon":"front-1","event":"flow","flow":"100.64.0.7:1051>198.18.0.1:8443","action":"forward","reason":"placed","upstream":"i-a1","zone":"schuur","generation":7,"upstreams_age_ms":300,"time":"2026-12-04T09:00:01.000Z"}
+{"daemon":"front-1","event":"flow","flow":"100.64.0.8:1051>198.18.0.1:8443","action":"forward","reason":"placed","upstream":"i-b2","time":"2026-12-04T09:00:01.100Z"}
+{"daemon":"front-2","event":"upstream_belief","upstream":"i-a1","belief":"dead","evidence":"data was repeated","time":"2026-12-04T09:00:02.400Z"}
+{"daemon":"front-1","event":"store_lost","time":"2026-12-04T09:00:03.000Z"}
+`
+
+func read(t *testing.T) []logread.Line {
+	lines, err := logread.Read("log", strings.NewReader(log))
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return lines
+}
+
+// Guards against a story that leaves out what another daemon did, mixes flows, or is out of order.
+func TestFlow(t *testing.T) {
+	g := NewWithT(t)
+	var out strings.Builder
+	n, err := logread.Flow(&out, read(t), "100.64.0.7:1051")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(n).To(Equal(3))
+	g.Expect(out.String()).To(Equal(`09:00:01.000 front-1              forward: placed, upstream i-a1 in schuur (generation 7, upstreams 300 ms old)
+09:00:02.400 front-2              upstream i-a1 is dead: data was repeated
+09:00:02.500 front-2              reset: upstream_dead (generation 7, upstreams 400 ms old)
+`))
+	n, err = logread.Flow(&out, read(t), "100.64.0.9")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(n).To(BeZero())
+}
+
+// Guards against beliefs of a later time.
+func TestBeliefs(t *testing.T) {
+	g := NewWithT(t)
+	var out strings.Builder
+	n, err := logread.Beliefs(&out, read(t), time.Date(2026, 12, 4, 9, 0, 2, 450_000_000, time.UTC))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(n).To(Equal(2))
+	g.Expect(out.String()).To(Equal(`front-1              running   generation 7, 17 upstreams as of 31, store not heard, suspects: 
+front-2              running   generation -, - upstreams as of -, store not heard, suspects: i-a1 dead
+`))
+}
+
+// Guards against a broken log that is read as if it were whole.
+func TestBadLine(t *testing.T) {
+	for _, text := range []string{"{", `{"event":"flow"}`, `{"time":"noon"}`} {
+		_, err := logread.Read("front-1.log", strings.NewReader("fine\n"+text))
+		NewWithT(t).Expect(err).To(MatchError(logread.ErrLine), text)
+		NewWithT(t).Expect(err).To(MatchError(ContainSubstring("front-1.log:2")), text)
+	}
+}
--- a/suspicion/suspicion.go
+++ b/suspicion/suspicion.go
@@ -41,9 +41,44 @@
 	refused      int
 }
 
+// Change is a change of what is believed of an upstream.
+type Change struct {
+	Upstream uint64
+	// Belief is suspect, dead or heard.
+	Belief string
+	// Evidence is what decided it.
+	Evidence string
+}
+
+// maxChanges bounds the changes that nobody has taken.
+const maxChanges = 256
+
 // Tracker keeps evidence by upstream key.
 type Tracker struct {
 	records map[uint64]*record
+	changes []Change
+}
+
+// TakeChanges returns what has changed since the last call.
+func (t *Tracker) TakeChanges() []Change {
+	changes := t.changes
+	t.changes = nil
+	return changes
+}
+
+func (t *Tracker) note(upstream uint64, belief, evidence string) {
+	if len(t.changes) < maxChanges {
+		t.changes = append(t.changes, Change{upstream, belief, evidence})
+	}
+}
+
+// suspect keeps new flows away from an upstream for a while.
+func (t *Tracker) suspect(upstream uint64, now time.Time, evidence string) {
+	r := t.of(upstream)
+	if !now.Before(r.suspectUntil) {
+		t.note(upstream, "suspect", evidence)
+	}
+	r.suspectUntil = now.Add(suspectFor)
 }
 
 // NewTracker returns a Tracker without evidence.
@@ -74,6 +109,9 @@
 // Progress notes that a caller received something from the upstream.
 func (t *Tracker) Progress(upstream uint64, now time.Time) {
 	r := t.of(upstream)
+	if now.Before(r.suspectUntil) {
+		t.note(upstream, "heard", "a caller received something")
+	}
 	r.progressAt, r.suspectUntil, r.deadUntil, r.refused = now, time.Time{}, time.Time{}, 0
 	clear(r.stalled)
 }
@@ -84,7 +122,7 @@
 	if now.Sub(sentAt) < soonestCopy {
 		return
 	}
-	t.of(upstream).suspectUntil = now.Add(suspectFor)
+	t.suspect(upstream, now, "an opening packet was repeated")
 }
 
 // OpeningUnanswered notes that neither a copy nor an acknowledgement followed an opening packet:
@@ -95,7 +133,8 @@
 	if r.refused < refusedOpenings {
 		return false
 	}
-	r.refused, r.suspectUntil = 0, now.Add(suspectFor)
+	r.refused = 0
+	t.suspect(upstream, now, "openings were followed by nothing")
 	return true
 }
 
@@ -112,11 +151,14 @@
 	}
 	isDead := copies >= CopiesUntilDead && now.Sub(sentAt) >= deadAfter
 	if isDead || len(r.stalled) >= stalledFlows {
-		r.suspectUntil = now.Add(suspectFor)
+		t.suspect(upstream, now, "data was repeated")
 	}
 	// One flow may be the only one that is lost. Two of them, and no sign on any other flow
 	// since the first one's data was sent, are not.
 	if len(r.stalled) >= stalledFlows && (isDead && r.progressAt.Before(sentAt) || now.Before(r.deadUntil)) {
+		if !now.Before(r.deadUntil) {
+			t.note(upstream, "dead", "data of several flows was repeated")
+		}
 		r.deadUntil = now.Add(deadFor)
 	}
 	return isDead
