--- a/edge/app.go
+++ b/edge/app.go
@@ -146,7 +146,7 @@
 	})
 	f.Join(d.fleet, d.fleet.Tell)
 	d.loop = &packetLoop{
-		conn: conn, catalog: c, counters: n, logger: logger, lastPacket: &d.lastPacket,
+		conn: conn, catalog: c, counters: n, verdicts: newVerdictCounters(n), logger: logger, lastPacket: &d.lastPacket,
 		budget:      lineBudget{perSecond: s.LogLines},
 		confirmedAt: func() time.Time { return f.ConfirmedAt(platform.KindUpstreams) },
 		steerer: inband.NewSteerer(inband.Options{
--- a/edge/packets.go
+++ b/edge/packets.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/fulmarfield/fulmarfield/catalog"
@@ -32,6 +33,7 @@
 	steerer  *inband.Steerer
 	catalog  *catalog.Catalog
 	counters *telemetry.Counters
+	verdicts verdictCounters
 	logger   zerolog.Logger
 	budget   lineBudget
 	// confirmedAt returns when the upstreams were last known to be the newest.
@@ -42,6 +44,21 @@
 	lastPacket *atomicTime
 }
 
+// verdictCounters are one counter for each action and reason.
+type verdictCounters [inband.Actions][inband.Reasons]metrics.Counter
+
+func newVerdictCounters(counters *telemetry.Counters) verdictCounters {
+	var c verdictCounters
+	for a := range c {
+		for r := range c[a] {
+			c[a][r] = counters.Named(inband.Action(a).String() + "." + inband.Reason(r).String())
+		}
+	}
+	return c
+}
+
+func (c *verdictCounters) count(v inband.Verdict) { c[v.Action][v.Reason].Inc(1) }
+
 // run handles packets until the connection is closed.
 func (l *packetLoop) run(ctx context.Context) error {
 	deadline := time.Now().Add(firstStateWait)
@@ -72,7 +89,7 @@
 		return
 	}
 	v := l.steerer.Decide(p, now)
-	l.counters.Count(v.Action.String() + "." + v.Reason.String())
+	l.verdicts.count(v)
 	l.log(p, v, now)
 	switch v.Action {
 	case inband.ActionForward:
--- a/inband/verdict.go
+++ b/inband/verdict.go
@@ -14,6 +14,8 @@
 	ActionForward
 	// ActionReset answers the caller that the flow has ended.
 	ActionReset
+	// Actions is the number of actions.
+	Actions = iota
 )
 
 // String returns the action in lower case.
@@ -38,6 +40,8 @@
 	ReasonUpstreamGone
 	ReasonUpstreamDead
 	ReasonNotReady
+	// Reasons is the number of reasons.
+	Reasons = iota
 )
 
 // String returns the reason as counters and log lines name it.
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -51,7 +51,12 @@
 
 // Add adds n to the named counter.
 func (c *Counters) Add(name string, n int64) {
-	metrics.GetOrRegisterCounter(name, c.registry).Inc(n)
+	c.Named(name).Inc(n)
+}
+
+// Named returns the counter with a name, for callers that count each packet.
+func (c *Counters) Named(name string) metrics.Counter {
+	return metrics.GetOrRegisterCounter(name, c.registry)
 }
 
 // Get returns the value of the named counter, 0 if it has never counted.
