--- a/inband/steerer.go
+++ b/inband/steerer.go
@@ -177,7 +177,7 @@
 	fate := snapshot.Fate(u.Key, now)
 	if fate == catalog.FateGone {
 		s.forget(p.Flow)
-		return refuse(p, ReasonUpstreamGone)
+		return refuse(p, u, ReasonUpstreamGone)
 	}
 	f := s.flows[p.Flow]
 	if f == nil || f.upstream.Key != u.Key {
@@ -189,7 +189,7 @@
 	// a new flow.
 	if route := snapshot.Route(p.Flow.Service()); isDead && route != nil && route.Kind.IsRepeatable() {
 		s.forget(p.Flow)
-		return reset(ReasonUpstreamDead)
+		return refuse(p, u, ReasonUpstreamDead)
 	}
 	if p.Finishes || p.Resets {
 		s.forget(p.Flow)
@@ -253,7 +253,7 @@
 		return v
 	}
 	s.forget(p.Flow)
-	return refuse(p, ReasonUnknownToken)
+	return refuse(p, nil, ReasonUnknownToken)
 }
 
 func (s *Steerer) remember(key wire.FlowKey, f *flow) {
--- a/inband/steerer_test.go
+++ b/inband/steerer_test.go
@@ -323,7 +323,7 @@
 	w.Expect(v.Reason).To(Equal(inband.ReasonMissingUpstream))
 	w.Expect(v.Upstream.Key).To(Equal(u.Key), "the datagram is for this incarnation only")
 	w.wait(catalog.LapseGrace)
-	w.Expect(w.decide(withData(p))).To(Equal(inband.Verdict{Action: inband.ActionReset, Reason: inband.ReasonUpstreamGone}))
+	w.Expect(w.decide(withData(p))).To(Equal(inband.Verdict{Action: inband.ActionReset, Reason: inband.ReasonUpstreamGone, Upstream: u}))
 }
 
 // Guards against new flows to a draining upstream, and against open ones that leave it.
--- a/inband/verdict.go
+++ b/inband/verdict.go
@@ -52,10 +52,12 @@
 	}[r]
 }
 
-// Verdict is the decision on a packet. Upstream is nil unless the packet is forwarded.
+// Verdict is the decision on a packet.
 type Verdict struct {
-	Action   Action
-	Reason   Reason
+	Action Action
+	Reason Reason
+	// Upstream is where the packet goes or, when the flow has ended, what it was on; nil if
+	// that is not known.
 	Upstream *catalog.Upstream
 	// IsRepeated marks a decision that was reported before.
 	IsRepeated bool
@@ -68,9 +70,11 @@
 }
 
 // refuse answers a packet of a flow that has ended, unless the caller ends it just now.
-func refuse(p platform.Packet, r Reason) Verdict {
+func refuse(p platform.Packet, u *catalog.Upstream, r Reason) Verdict {
+	v := reset(r)
 	if p.Resets {
-		return drop(r)
+		v = drop(r)
 	}
-	return reset(r)
+	v.Upstream = u
+	return v
 }
