--- a/daemon/page_test.go
+++ b/daemon/page_test.go
@@ -18,13 +18,20 @@
 
 const operationsPage = "../docs/OPERATIONS.md"
 
-// sources returns the text of the product's code, without stand-ins, tests and tools.
-func sources(g Gomega) string {
+// inBand matches the directories of the in-band daemon, which has tables of its own on the page.
+var inBand = regexp.MustCompile(`^(catalog|discovery|edge|fleet|inband|logread|placement|platform|suspicion)$`)
+
+// sources returns the text of the product's code, without stand-ins, tests and tools: that of the
+// in-band daemon, or all other code.
+func sources(g Gomega, isInBand bool) string {
 	var text strings.Builder
 	g.Expect(filepath.WalkDir("..", func(path string, d fs.DirEntry, err error) error {
 		if err != nil {
 			return err
 		}
+		if top, _, _ := strings.Cut(strings.TrimPrefix(path, "../"), "/"); !d.IsDir() && inBand.MatchString(top) != isInBand {
+			return nil
+		}
 		if d.IsDir() && regexp.MustCompile(`^(standin|experiment|test|internal|api|cmd|caller|bin|spec|\.git)$`).MatchString(d.Name()) {
 			return fs.SkipDir
 		}
@@ -62,11 +69,13 @@
 	g := NewWithT(t)
 	data, err := os.ReadFile(operationsPage)
 	g.Expect(err).NotTo(HaveOccurred())
-	code := sources(g)
-	events := names(code, `Str\("event", *"([a-z_]+)"`, `\bevent\w* +:?= "([a-z_]+)"`, `\bevent = "([a-z_]+)"`)
-	g.Expect(names(section(g, string(data), "Log events"), "(?m)^\\| `([a-z_]+)\\*?` \\|")).To(Equal(events))
-	families := names(code, `(?:Count|Add)\("([a-z_]+)\.`, `"(retry|refusal|drop|config|forward)\.[a-z_]*"`)
-	g.Expect(names(section(g, string(data), "Counters"), "(?m)^\\| `([a-z_]+)\\.\\*` \\|")).To(Equal(families))
+	for suffix, isInBand := range map[string]bool{"": false, " of in-band daemons": true} {
+		code := sources(g, isInBand)
+		events := names(code, `Str\("event", *"([a-z_]+)"`, `\bevent\w* +:?= "([a-z_]+)"`, `\bevent = "([a-z_]+)"`)
+		g.Expect(names(section(g, string(data), "Log events"+suffix), "(?m)^\\| `([a-z_]+)\\*?` \\|")).To(Equal(events))
+		families := names(code, `(?:Count|Add)\("([a-z_]+)\.`, `"(retry|refusal|drop|config|forward)\.[a-z_]*"`)
+		g.Expect(names(section(g, string(data), "Counters"+suffix), "(?m)^\\| `([a-z_]+)\\.\\*` \\|")).To(Equal(families))
+	}
 }
 
 // Guards against a settings table that differs from the flags.
--- a/edge/logging.go
+++ b/edge/logging.go
@@ -18,7 +18,6 @@
 	eventStopping        = "daemon_stopping"
 	eventStopped         = "daemon_stopped"
 	eventReady           = "daemon_ready"
-	eventNotReady        = "daemon_not_ready"
 	eventReloaded        = "settings_reloaded"
 	eventReloadRefused   = "settings_refused"
 	eventRestartNeeded   = "settings_need_restart"
--- a/edge/packets.go
+++ b/edge/packets.go
@@ -61,10 +61,13 @@
 
 // run handles packets until the connection is closed.
 func (l *packetLoop) run(ctx context.Context) error {
-	deadline := time.Now().Add(firstStateWait)
+	began := time.Now()
+	deadline := began.Add(firstStateWait)
 	for ctx.Err() == nil && !l.catalog.Current().IsComplete() && time.Now().Before(deadline) {
 		time.Sleep(statePoll)
 	}
+	l.logger.Info().Str("event", eventReady).Bool("state_known", l.catalog.Current().IsComplete()).
+		Dur("after_ms", time.Since(began)).Send()
 	batch := make([]wire.Datagram, batchSize)
 	for {
 		n, err := l.conn.ReadBatch(batch)
