--- a/inband/steerer_test.go
+++ b/inband/steerer_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"runtime"
 	"testing"
 	"time"
 
@@ -374,3 +375,43 @@
 		})
 	}
 }
+
+// Measures the memory of a flow for docs/CAPACITY.md.
+func BenchmarkFlowMemory(b *testing.B) {
+	const flows = 100_000
+	w := newWorld(&testing.T{}, upstream("a", "bindery", "schuur"))
+	token := w.token("a", bindery)
+	var before, after runtime.MemStats
+	for b.Loop() {
+		w.restart()
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for i := range flows {
+			key := wire.FlowKey{CallerIP: uint32(i), ServiceIP: 0xC6120001, CallerPort: 1, ServicePort: 8443}
+			w.decide(platform.Packet{Flow: key, Token: token, Sequence: 1, Acknowledges: true})
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/flows, "B/flow")
+}
+
+// Measures an opening packet among many upstreams for docs/CAPACITY.md.
+func BenchmarkOpen(b *testing.B) {
+	for _, upstreams := range []int{14, 140} {
+		b.Run(fmt.Sprint(upstreams), func(b *testing.B) {
+			var list []*catalog.Upstream
+			for i := range upstreams {
+				list = append(list, upstream(fmt.Sprint(i), "bindery", "schuur"))
+			}
+			w := newWorld(&testing.T{}, list...)
+			i := uint32(0)
+			for b.Loop() {
+				i++
+				key := wire.FlowKey{CallerIP: i, ServiceIP: 0xC6120001, CallerPort: 1, ServicePort: 8443}
+				w.decide(platform.Packet{Flow: key, Opens: true})
+				w.wait(time.Millisecond)
+			}
+		})
+	}
+}
