Take the last change of each record, and only a confirmed absence, for true

Cause: after a cut of the zone one answer of a watch showed that entries had lapsed and that they were back; the removals were applied after the registrations, and 2.5 s later the upstreams counted as gone. Ruled out: entries that were really missing (other daemons had 157 upstreams, this one 128), dead upstreams (reason upstream_gone), an older list of another daemon (origin store). TestEntryThatLapsedAndCameBack fails without the change. Besides, an upstream counts as gone only when its absence was confirmed for 2.5 s, not when that much time has passed on a copy that lags, and one that was draining may have lapsed like others.

Settings, their errors and the logger of both daemons are in one package.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -35,9 +35,8 @@
 type departed struct {
 	upstream *Upstream
 	since    time.Time
-	// isCertain means that it cannot come back: it left after a drain, or another incarnation
-	// has its name.
-	isCertain bool
+	// isReplaced means that it cannot come back: another incarnation has its name.
+	isReplaced bool
 }
 
 // Snapshot is what is known at one moment. It must not be changed.
@@ -81,8 +80,10 @@
 // Upstream returns the registered upstream with a key, or nil.
 func (s *Snapshot) Upstream(key uint64) *Upstream { return s.registered[key] }
 
-// Fate returns what is known of an upstream.
-func (s *Snapshot) Fate(key uint64, now time.Time) Fate {
+// Fate returns what is known of an upstream. confirmedAt is when this snapshot was last known to be
+// the newest: a missing entry counts only for as long as it was known to be missing, since a copy
+// that lags may lack one that is back.
+func (s *Snapshot) Fate(key uint64, confirmedAt time.Time) Fate {
 	if s.registered[key] != nil {
 		return FateRegistered
 	}
@@ -90,7 +91,7 @@
 	switch {
 	case !known:
 		return FateUnknown
-	case d.isCertain || now.Sub(d.since) >= LapseGrace:
+	case d.isReplaced || confirmedAt.Sub(d.since) >= LapseGrace:
 		return FateGone
 	default:
 		return FateMissing
@@ -195,12 +196,12 @@
 func (c *Catalog) remove(id string) {
 	if u := c.upstreams[id]; u != nil {
 		delete(c.upstreams, id)
-		c.depart(u, u.State == StateDraining)
+		c.depart(u, false)
 	}
 }
 
-func (c *Catalog) depart(u *Upstream, isCertain bool) {
-	c.departed[u.Key] = departed{upstream: u, since: c.now(), isCertain: isCertain}
+func (c *Catalog) depart(u *Upstream, isReplaced bool) {
+	c.departed[u.Key] = departed{upstream: u, since: c.now(), isReplaced: isReplaced}
 }
 
 // publish makes a new snapshot. The maps of the old one stay as they are.
--- a/daemon/app.go
+++ b/daemon/app.go
@@ -17,6 +17,7 @@
 	"go.uber.org/fx"
 
 	"github.com/fulmarfield/fulmarfield/api/fulmarfield/v1/fulmarfieldv1connect"
+	"github.com/fulmarfield/fulmarfield/internal/setting"
 	"github.com/fulmarfield/fulmarfield/membership"
 	"github.com/fulmarfield/fulmarfield/peer"
 	"github.com/fulmarfield/fulmarfield/store"
@@ -39,7 +40,7 @@
 // graceful shutdown, 1 after a failure, 2 for a bad setting, 3 when a second signal ended it.
 func Main(args []string) int {
 	settings, err := ParseSettings(args)
-	if errors.Is(err, ErrHelp) {
+	if errors.Is(err, setting.ErrHelp) {
 		return exitOK
 	}
 	if err != nil {
@@ -60,9 +61,9 @@
 // reportStart tells why the daemon did not start: a bad setting as a line of text, an address
 // that cannot be bound as a log event.
 func reportStart(settings *Settings, err error) {
-	var setting *SettingError
-	if errors.As(err, &setting) {
-		fmt.Fprintln(os.Stderr, setting)
+	var refused *setting.Error
+	if errors.As(err, &refused) {
+		fmt.Fprintln(os.Stderr, refused)
 		return
 	}
 	logger := settings.Logger()
@@ -70,8 +71,8 @@
 }
 
 func startExit(err error) int {
-	var setting *SettingError
-	if errors.As(err, &setting) || errors.Is(err, syscall.EADDRINUSE) || errors.Is(err, syscall.EADDRNOTAVAIL) {
+	var refused *setting.Error
+	if errors.As(err, &refused) || errors.Is(err, syscall.EADDRINUSE) || errors.Is(err, syscall.EADDRNOTAVAIL) {
 		return exitSettings
 	}
 	return exitFailed
--- a/daemon/logging.go
+++ b/daemon/logging.go
@@ -1,11 +1,5 @@
 package daemon
 
-import (
-	"io"
-
-	"github.com/rs/zerolog"
-)
-
 // Event names of the daemon's log lines, in the field "event".
 const (
 	eventStarted         = "daemon_started"
@@ -23,7 +17,3 @@
 	eventDaemonUndrained = "daemon_undrained"
 	eventDaemonRejoined  = "daemon_rejoined"
 )
-
-func newLogger(w io.Writer, name string, level zerolog.Level) zerolog.Logger {
-	return zerolog.New(w).Level(level).With().Timestamp().Str("daemon", name).Logger()
-}
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"errors"
 	"fmt"
 	"net/netip"
 	"os"
@@ -10,6 +9,7 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
 
+	"github.com/fulmarfield/fulmarfield/internal/setting"
 	"github.com/fulmarfield/fulmarfield/membership"
 )
 
@@ -44,40 +44,16 @@
 	ShutdownSeconds int    `long:"shutdown-seconds" env:"FULMAR_SHUTDOWN_SECONDS" default:"30" description:"longest graceful shutdown in seconds, 1 to 3600"`
 }
 
-// SettingError reports a setting that is not allowed.
-type SettingError struct {
-	Flag    string
-	Value   string
-	Allowed string
-}
-
-// Error names the flag, the value and what is allowed.
-func (e *SettingError) Error() string {
-	return fmt.Sprintf("--%s: %q is not allowed: %s", e.Flag, e.Value, e.Allowed)
-}
-
-// ErrHelp is returned by ParseSettings when help was asked for and printed.
-var ErrHelp = errors.New("help was printed")
-
-// ParseSettings reads flags and environment and checks them. It returns ErrHelp, a
-// *SettingError, or an error of the flag parser.
+// ParseSettings reads flags and environment and checks them. It returns setting.ErrHelp, a
+// *setting.Error, or an error of the flag parser.
 func ParseSettings(args []string) (*Settings, error) {
 	s := &Settings{}
 	parser := flags.NewNamedParser("fulmar-balancer", flags.HelpFlag|flags.PassDoubleDash)
 	if _, err := parser.AddGroup("Settings", "", s); err != nil {
 		return nil, fmt.Errorf("define settings: %w", err)
 	}
-	rest, err := parser.ParseArgs(args)
-	var flagsErr *flags.Error
-	if errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp {
-		_, _ = fmt.Fprintln(os.Stdout, flagsErr.Message)
-		return nil, ErrHelp
-	}
-	if err != nil {
-		return nil, fmt.Errorf("read settings: %w", err)
-	}
-	if len(rest) > 0 {
-		return nil, fmt.Errorf("read settings: unexpected argument %q; only flags are allowed", rest[0])
+	if err := setting.ParseFlags(parser, args); err != nil {
+		return nil, err
 	}
 	return s, s.check()
 }
@@ -97,17 +73,17 @@
 		{"advertise-control-address", s.AdvertiseControlAddress},
 	}
 	for _, a := range addresses {
-		if err := checkAddress(a.flag, a.value); err != nil {
+		if err := setting.CheckAddress("", a.flag, a.value); err != nil {
 			return err
 		}
 	}
 	for _, p := range s.Peers {
-		if err := checkAddress("peers", p); err != nil {
+		if err := setting.CheckAddress("", "peers", p); err != nil {
 			return err
 		}
 	}
 	if s.ShutdownSeconds < 1 || s.ShutdownSeconds > 3600 {
-		return &SettingError{"shutdown-seconds", fmt.Sprint(s.ShutdownSeconds), "1 to 3600 seconds"}
+		return setting.Refuse("", "shutdown-seconds", fmt.Sprint(s.ShutdownSeconds), "1 to 3600 seconds")
 	}
 	return s.checkAccess()
 }
@@ -116,35 +92,27 @@
 // credential.
 func (s *Settings) checkAccess() error {
 	if (s.TLSCertificate == "") != (s.TLSKey == "") {
-		return &SettingError{"tls-key", s.TLSKey, "a file when tls-certificate is set, and only then"}
+		return setting.Refuse("", "tls-key", s.TLSKey, "a file when tls-certificate is set, and only then")
 	}
 	if s.TLSClientCA != "" && s.TLSCertificate == "" {
-		return &SettingError{"tls-client-ca", s.TLSClientCA, "only together with tls-certificate"}
+		return setting.Refuse("", "tls-client-ca", s.TLSClientCA, "only together with tls-certificate")
 	}
 	addr := netip.MustParseAddrPort(s.OperatorAddress)
 	if !addr.Addr().IsLoopback() && s.OperatorTokenFile == "" && s.TLSClientCA == "" {
-		return &SettingError{"operator-address", s.OperatorAddress,
-			"a loopback address unless operator-token-file or tls-client-ca is set"}
-	}
-	return nil
-}
-
-func checkAddress(flag, value string) error {
-	addr, err := netip.ParseAddrPort(value)
-	if err != nil || !addr.Addr().Is4() || addr.Port() == 0 {
-		return &SettingError{flag, value, "an IPv4 address and a port from 1 to 65535, as 192.0.2.1:7000"}
+		return setting.Refuse("", "operator-address", s.OperatorAddress,
+			"a loopback address unless operator-token-file or tls-client-ca is set")
 	}
 	return nil
 }
 
-// ClusterKey reads the key file. It returns a *SettingError for a key that is too short.
+// ClusterKey reads the key file. It returns a *setting.Error for a key that is too short.
 func (s *Settings) ClusterKey() ([]byte, error) {
 	key, err := readSecret("key-file", s.KeyFile)
 	if err != nil {
 		return nil, err
 	}
 	if len(key) < minKeyBytes {
-		return nil, &SettingError{"key-file", s.KeyFile, fmt.Sprintf("a file with at least %d bytes", minKeyBytes)}
+		return nil, setting.Refuse("", "key-file", s.KeyFile, fmt.Sprintf("a file with at least %d bytes", minKeyBytes))
 	}
 	return key, nil
 }
@@ -159,8 +127,8 @@
 		return "", err
 	}
 	if len(token) < minKeyBytes {
-		return "", &SettingError{"operator-token-file", s.OperatorTokenFile,
-			fmt.Sprintf("a file with at least %d bytes", minKeyBytes)}
+		return "", setting.Refuse("", "operator-token-file", s.OperatorTokenFile,
+			fmt.Sprintf("a file with at least %d bytes", minKeyBytes))
 	}
 	return string(token), nil
 }
@@ -168,7 +136,7 @@
 func readSecret(flag, path string) ([]byte, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, &SettingError{flag, path, "a readable file: " + err.Error()}
+		return nil, setting.Refuse("", flag, path, "a readable file: "+err.Error())
 	}
 	return []byte(strings.TrimSpace(string(data))), nil
 }
@@ -191,7 +159,7 @@
 		level = zerolog.InfoLevel
 	}
 	if s.LogFormat == "console" {
-		return newLogger(zerolog.ConsoleWriter{Out: os.Stderr}, s.Name, level)
+		return setting.Logger(zerolog.ConsoleWriter{Out: os.Stderr}, s.Name, level)
 	}
-	return newLogger(os.Stderr, s.Name, level)
+	return setting.Logger(os.Stderr, s.Name, level)
 }
--- a/discovery/apply.go
+++ b/discovery/apply.go
@@ -1,6 +1,8 @@
 package discovery
 
 import (
+	"slices"
+
 	"github.com/fulmarfield/fulmarfield/catalog"
 	"github.com/fulmarfield/fulmarfield/platform"
 	"github.com/fulmarfield/fulmarfield/store"
@@ -23,7 +25,7 @@
 	}
 	var put []*catalog.Upstream
 	var removed, unreadable []string
-	for _, change := range changes {
+	for _, change := range last(changes) {
 		if change.Deleted {
 			removed = append(removed, change.Record.Name)
 		} else if u := f.decodeUpstream(change.Record); u != nil {
@@ -45,6 +47,20 @@
 		Int("put", len(put)).Strs("removed", removed).Int("upstreams", f.options.Catalog.Current().Upstreams()).Send()
 }
 
+// last returns the last change of each record: an entry that lapsed and came back may be removed and
+// written in one answer.
+func last(changes []store.Change) []store.Change {
+	seen := make(map[string]bool, len(changes))
+	var kept []store.Change
+	for _, change := range slices.Backward(changes) {
+		if !seen[change.Record.Name] {
+			seen[change.Record.Name] = true
+			kept = append(kept, change)
+		}
+	}
+	return kept
+}
+
 func (f *Follower) decodeUpstream(r store.Record) *catalog.Upstream {
 	u, err := platform.DecodeUpstream(r)
 	if err != nil {
--- a/discovery/claims.go
+++ b/discovery/claims.go
@@ -77,6 +77,9 @@
 // ConfigConfirmedAt returns when the configuration was last known to be the newest.
 func (f *Follower) ConfigConfirmedAt() time.Time { return f.ConfirmedAt(platform.KindConfiguration) }
 
+// UpstreamsConfirmedAt returns when the upstreams were last known to be the newest.
+func (f *Follower) UpstreamsConfirmedAt() time.Time { return f.ConfirmedAt(platform.KindUpstreams) }
+
 // UpstreamsListedSince reports whether a complete list of upstreams was begun after t and long
 // enough after the store's return for lapsed entries to be back. It asks for one if not.
 func (f *Follower) UpstreamsListedSince(t time.Time) bool {
--- a/discovery/list_test.go
+++ b/discovery/list_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/fulmarfield/fulmarfield/catalog"
+	"github.com/fulmarfield/fulmarfield/platform"
 	"github.com/fulmarfield/fulmarfield/store"
 	"github.com/fulmarfield/fulmarfield/telemetry"
 )
@@ -68,3 +69,24 @@
 		g.Expect(s.calls).To(Equal(1))
 	})
 }
+
+// Guards against an upstream that counts as gone although it is registered: while the store was out
+// of reach its entry lapsed and came back, and one answer shows both.
+func TestEntryThatLapsedAndCameBack(t *testing.T) {
+	g := NewWithT(t)
+	c := catalog.New(time.Now)
+	f := NewFollower(Options{Store: &pagedStore{}, Catalog: c, Counters: telemetry.NewCounters(), Logger: zerolog.Nop()})
+	entry := func(version int) store.Record {
+		return store.Record{Name: "i-a1", Version: store.Version(version), Body: []byte(
+			`{"service":"s","address":"127.0.0.1:80","zone":"z","version":"v1","slots":2,"state":"ready","cold_remaining_ms":0,"seq":4,"born":1}`)}
+	}
+	f.took(platform.KindUpstreams, store.Listing{Records: []store.Record{entry(5)}, AsOf: 5}, time.Now(), true)
+	f.tookChanges(platform.KindUpstreams, store.Changes{AsOf: 9, Changes: []store.Change{
+		{Record: entry(7), Deleted: true}, {Record: entry(9)},
+	}}, 1)
+	g.Expect(c.Current().Upstreams()).To(Equal(1))
+	f.tookChanges(platform.KindUpstreams, store.Changes{AsOf: 12, Changes: []store.Change{
+		{Record: entry(11)}, {Record: entry(12), Deleted: true},
+	}}, 1)
+	g.Expect(c.Current().Upstreams()).To(BeZero())
+}
--- a/edge/app.go
+++ b/edge/app.go
@@ -21,6 +21,7 @@
 	"github.com/fulmarfield/fulmarfield/discovery"
 	"github.com/fulmarfield/fulmarfield/fleet"
 	"github.com/fulmarfield/fulmarfield/inband"
+	"github.com/fulmarfield/fulmarfield/internal/setting"
 	"github.com/fulmarfield/fulmarfield/platform"
 	"github.com/fulmarfield/fulmarfield/store"
 	"github.com/fulmarfield/fulmarfield/telemetry"
@@ -79,7 +80,7 @@
 // shutdown, 1 after a failure, 2 for a bad setting.
 func Main(args []string) int {
 	settings, err := ParseSettings(args)
-	if errors.Is(err, ErrHelp) {
+	if errors.Is(err, setting.ErrHelp) {
 		return exitOK
 	}
 	if err != nil {
@@ -91,7 +92,7 @@
 	zerolog.TimeFieldFormat = timeFormat
 	output := newAsyncWriter(os.Stdout)
 	defer output.flush(flushTimeout)
-	logger := newLogger(output, settings.Name, settings.level())
+	logger := setting.Logger(output, settings.Name, settings.level())
 	var d *Daemon
 	app := fx.New(Module(settings, logger), fx.Populate(&d), fx.NopLogger)
 	if err := app.Start(context.Background()); err != nil {
@@ -148,7 +149,7 @@
 	d.loop = &packetLoop{
 		conn: conn, catalog: c, counters: n, verdicts: newVerdictCounters(n), logger: logger, lastPacket: &d.lastPacket,
 		budget:      lineBudget{perSecond: s.LogLines},
-		confirmedAt: func() time.Time { return f.ConfirmedAt(platform.KindUpstreams) },
+		confirmedAt: f.UpstreamsConfirmedAt,
 		steerer: inband.NewSteerer(inband.Options{
 			Zone: s.Zone, Catalog: c, Belief: f, Bound: s.bound(),
 			Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
--- a/edge/logging.go
+++ b/edge/logging.go
@@ -5,8 +5,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/rs/zerolog"
 )
 
 // queuedLines bounds the memory of lines that wait for a slow reader, about 200 KB.
@@ -91,7 +89,3 @@
 
 // timeFormat has milliseconds, since flows open within a few.
 const timeFormat = "2006-01-02T15:04:05.000Z07:00"
-
-func newLogger(w io.Writer, name string, level zerolog.Level) zerolog.Logger {
-	return zerolog.New(w).Level(level).With().Timestamp().Str("daemon", name).Logger()
-}
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -1,16 +1,16 @@
 package edge
 
 import (
-	"errors"
 	"fmt"
 	"net/netip"
-	"os"
 	"reflect"
 	"strings"
 	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
+
+	"github.com/fulmarfield/fulmarfield/internal/setting"
 )
 
 // Settings are flags, environment variables, or lines of the settings file; flags win over the
@@ -35,29 +35,8 @@
 	LogLines     int     `long:"log-lines" env:"FULMAR_LOG_LINES" default:"50" description:"lines a second on single flows, 1 to 100000; further ones are counted"`
 }
 
-// ErrHelp is returned by ParseSettings when help was asked for and printed.
-var ErrHelp = errors.New("help was printed")
-
-// SettingError reports a setting that is not allowed.
-type SettingError struct {
-	// File is empty when the setting is a flag or an environment variable.
-	File    string
-	Setting string
-	Value   string
-	Allowed string
-}
-
-// Error names the place, the setting, the value and what is allowed.
-func (e *SettingError) Error() string {
-	place := "--"
-	if e.File != "" {
-		place = e.File + ": "
-	}
-	return fmt.Sprintf("%s%s: %q is not allowed: %s", place, e.Setting, e.Value, e.Allowed)
-}
-
 // ParseSettings reads the settings file that flags or environment name, then flags and
-// environment, and checks the result. It returns ErrHelp, a *SettingError, or an error that
+// environment, and checks the result. It returns setting.ErrHelp, a *setting.Error, or an error that
 // names the file and line or the flag.
 func ParseSettings(args []string) (*Settings, error) {
 	s := &Settings{}
@@ -65,7 +44,7 @@
 	if _, err := parser.AddGroup("Settings", "", s); err != nil {
 		return nil, fmt.Errorf("define settings: %w", err)
 	}
-	if err := parse(parser, args); err != nil {
+	if err := setting.ParseFlags(parser, args); err != nil {
 		return nil, err
 	}
 	if s.File != "" {
@@ -73,57 +52,40 @@
 			return nil, fmt.Errorf("read settings: %w", err)
 		}
 		// Once more, so that flags win over the file.
-		if err := parse(parser, args); err != nil {
+		if err := setting.ParseFlags(parser, args); err != nil {
 			return nil, err
 		}
 	}
 	return s, s.check()
 }
 
-func parse(parser *flags.Parser, args []string) error {
-	rest, err := parser.ParseArgs(args)
-	var flagsErr *flags.Error
-	if errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp {
-		_, _ = fmt.Fprintln(os.Stdout, flagsErr.Message)
-		return ErrHelp
-	}
-	if err != nil {
-		return fmt.Errorf("read settings: %w", err)
-	}
-	if len(rest) > 0 {
-		return fmt.Errorf("read settings: unexpected argument %q; only flags are allowed", rest[0])
-	}
-	return nil
-}
-
 func (s *Settings) check() error {
 	for name, value := range map[string]string{"name": s.Name, "zone": s.Zone} {
 		if strings.TrimSpace(value) == "" {
-			return &SettingError{s.File, name, value, "a name"}
+			return setting.Refuse(s.File, name, value, "a name")
 		}
 	}
 	for name, value := range map[string]string{
 		"packet-address": s.PacketAddress, "ready-address": s.ReadyAddress,
 		"admin-address": s.AdminAddress, "store-address": s.StoreAddress,
 	} {
-		address, err := netip.ParseAddrPort(value)
-		if err != nil || !address.Addr().Is4() || address.Port() == 0 {
-			return &SettingError{s.File, name, value, "an IPv4 address and a port from 1 to 65535, as 192.0.2.1:7000"}
+		if err := setting.CheckAddress(s.File, name, value); err != nil {
+			return err
 		}
 	}
 	for name, value := range map[string]int{"configuration-bound-ms": s.ConfigurationBound, "drain-bound-ms": s.DrainBound} {
 		if value < 500 || value > 60_000 {
-			return &SettingError{s.File, name, fmt.Sprint(value), "500 to 60000"}
+			return setting.Refuse(s.File, name, fmt.Sprint(value), "500 to 60000")
 		}
 	}
 	if _, err := s.seedAddresses(); err != nil {
 		return err
 	}
 	if s.GraceSeconds < 1 || s.GraceSeconds > 600 {
-		return &SettingError{s.File, "grace-seconds", fmt.Sprint(s.GraceSeconds), "1 to 600"}
+		return setting.Refuse(s.File, "grace-seconds", fmt.Sprint(s.GraceSeconds), "1 to 600")
 	}
 	if s.LogLines < 1 || s.LogLines > 100_000 {
-		return &SettingError{s.File, "log-lines", fmt.Sprint(s.LogLines), "1 to 100000"}
+		return setting.Refuse(s.File, "log-lines", fmt.Sprint(s.LogLines), "1 to 100000")
 	}
 	return nil
 }
@@ -160,7 +122,7 @@
 	return time.Duration(min(s.ConfigurationBound, s.DrainBound)) * time.Millisecond
 }
 
-// seedAddresses returns the IP addresses of the seeds, or a *SettingError.
+// seedAddresses returns the IP addresses of the seeds, or a *setting.Error.
 func (s *Settings) seedAddresses() ([]netip.Addr, error) {
 	var seeds []netip.Addr
 	for _, list := range s.Seeds {
@@ -170,7 +132,7 @@
 			}
 			address, err := netip.ParseAddrPort(value)
 			if err != nil || !address.Addr().Is4() {
-				return nil, &SettingError{s.File, "seeds", value, "IPv4 addresses with ports, separated by commas"}
+				return nil, setting.Refuse(s.File, "seeds", value, "IPv4 addresses with ports, separated by commas")
 			}
 			seeds = append(seeds, address.Addr())
 		}
--- a/edge/settings_test.go
+++ b/edge/settings_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/fulmarfield/fulmarfield/internal/setting"
 )
 
 const goodFile = `name = front-1
@@ -44,9 +46,9 @@
 			path := writeSettings(t, strings.Replace(goodFile, c.from, c.to, 1))
 			_, err := ParseSettings([]string{"--settings-file", path})
 			g.Expect(err).To(MatchError(ContainSubstring(c.want)))
-			var setting *SettingError
-			if errors.As(err, &setting) {
-				g.Expect(setting.File).To(Equal(path))
+			var refused *setting.Error
+			if errors.As(err, &refused) {
+				g.Expect(refused.File).To(Equal(path))
 			}
 		})
 	}
--- a/inband/steerer.go
+++ b/inband/steerer.go
@@ -29,8 +29,10 @@
 
 // Belief is how current the daemon's state is.
 type Belief interface {
-	// ConfigConfirmedAt returns when the configuration was last known to be the newest.
+	// ConfigConfirmedAt returns when the configuration was last known to be the newest, and
+	// UpstreamsConfirmedAt the same of the upstreams.
 	ConfigConfirmedAt() time.Time
+	UpstreamsConfirmedAt() time.Time
 	// UpstreamsListedSince reports whether a complete list was read that was begun after t and
 	// to which entries that lapsed have come back. It may cause one to be read soon.
 	UpstreamsListedSince(t time.Time) bool
@@ -174,7 +176,7 @@
 	if u == nil {
 		return s.steerUnknown(p, now)
 	}
-	fate := snapshot.Fate(u.Key, now)
+	fate := snapshot.Fate(u.Key, s.options.Belief.UpstreamsConfirmedAt())
 	if fate == catalog.FateGone {
 		s.forget(p.Flow)
 		return refuse(p, u, ReasonUpstreamGone)
@@ -305,11 +307,12 @@
 	if snapshot.Config != nil && snapshot.Config.IdleTimeout > 0 {
 		idle = snapshot.Config.IdleTimeout
 	}
+	confirmedAt := s.options.Belief.UpstreamsConfirmedAt()
 	for key, f := range s.flows {
 		switch {
 		case now.Sub(f.lastSeen) > idle:
 			s.forget(key)
-		case f.isOpen && snapshot.Fate(f.upstream.Key, now) == catalog.FateGone:
+		case f.isOpen && snapshot.Fate(f.upstream.Key, confirmedAt) == catalog.FateGone:
 			s.end(key, f, ReasonUpstreamGone)
 		}
 	}
--- a/inband/steerer_test.go
+++ b/inband/steerer_test.go
@@ -29,12 +29,15 @@
 	now       time.Time
 	catalog   *catalog.Catalog
 	confirmed time.Time
-	listed    time.Time
-	steerer   *inband.Steerer
-	nextPort  uint16
+	// upstreamsConfirmed is when the upstreams were last known to be the newest.
+	upstreamsConfirmed time.Time
+	listed             time.Time
+	steerer            *inband.Steerer
+	nextPort           uint16
 }
 
 func (w *world) ConfigConfirmedAt() time.Time              { return w.confirmed }
+func (w *world) UpstreamsConfirmedAt() time.Time           { return w.upstreamsConfirmed }
 func (w *world) UpstreamsListedSince(t time.Time) bool     { return w.listed.After(t) }
 func (w *world) wait(d time.Duration)                      { w.now = w.now.Add(d) }
 func (w *world) decide(p platform.Packet) inband.Verdict   { return w.steerer.Decide(p, w.now) }
@@ -283,6 +286,7 @@
 	w.decide(platform.Packet{Flow: w.key(gallery), Token: 1})
 	w.Expect(w.steerer.TakeEnded()).To(BeEmpty(), "its entry may come back")
 	w.wait(2 * time.Second)
+	w.upstreamsConfirmed = w.now
 	w.decide(platform.Packet{Flow: w.key(gallery), Token: 1})
 	w.Expect(w.steerer.TakeEnded()).To(ConsistOf(HaveField("Flow", p.Flow)))
 }
@@ -324,6 +328,8 @@
 	w.Expect(v.Reason).To(Equal(inband.ReasonMissingUpstream))
 	w.Expect(v.Upstream.Key).To(Equal(u.Key), "the datagram is for this incarnation only")
 	w.wait(catalog.LapseGrace)
+	w.Expect(w.decide(p).Action).To(Equal(inband.ActionForward), "it may be back in the store")
+	w.upstreamsConfirmed = w.now
 	w.Expect(w.decide(withData(p))).To(Equal(inband.Verdict{Action: inband.ActionReset, Reason: inband.ReasonUpstreamGone, Upstream: u}))
 }
 
