--- a/client/logs.go
+++ b/client/logs.go
@@ -27,7 +27,7 @@
 		p.complain("%v\n", err)
 		return ExitUsage
 	}
-	found := 0
+	var found int
 	if args[0] == "flow" {
 		found, err = logread.Flow(out, lines, args[1])
 	} else {
--- a/daemon/page_test.go
+++ b/daemon/page_test.go
@@ -69,7 +69,11 @@
 	g := NewWithT(t)
 	data, err := os.ReadFile(operationsPage)
 	g.Expect(err).NotTo(HaveOccurred())
-	for suffix, isInBand := range map[string]bool{"": false, " of in-band daemons": true} {
+	for _, isInBand := range []bool{false, true} {
+		suffix := ""
+		if isInBand {
+			suffix = " of in-band daemons"
+		}
 		code := sources(g, isInBand)
 		events := names(code, `Str\("event", *"([a-z_]+)"`, `\bevent\w* +:?= "([a-z_]+)"`, `\bevent = "([a-z_]+)"`)
 		g.Expect(names(section(g, string(data), "Log events"+suffix), "(?m)^\\| `([a-z_]+)\\*?` \\|")).To(Equal(events))
--- a/inband/steerer.go
+++ b/inband/steerer.go
@@ -294,7 +294,7 @@
 		o := s.openings[0]
 		s.openings = s.openings[1:]
 		if f := s.flows[o.key]; f != nil && !f.isOpen && f.lastSeen.Equal(o.at) {
-			s.tracker.OpeningUnanswered(f.upstream.Key, now)
+			s.tracker.OpeningUnanswered(f.upstream.Key, o.at, now)
 			s.forget(o.key)
 		}
 	}
--- a/suspicion/suspicion.go
+++ b/suspicion/suspicion.go
@@ -27,9 +27,6 @@
 	// deadFor is how long an upstream counts as dead after the last sign of it. The longest gap
 	// between the first retransmissions of a flow is 800 ms.
 	deadFor = time.Second
-	// refusedOpenings is how many openings in a row without any sign from their callers show
-	// an upstream that refuses flows. One may be a caller whose packets changed balancers.
-	refusedOpenings = 2
 )
 
 // record is the evidence on one upstream.
@@ -38,7 +35,6 @@
 	suspectUntil time.Time
 	deadUntil    time.Time
 	stalled      map[uint64]struct{}
-	refused      int
 }
 
 // Change is a change of what is believed of an upstream.
@@ -112,7 +108,7 @@
 	if now.Before(r.suspectUntil) {
 		t.note(upstream, "heard", "a caller received something")
 	}
-	r.progressAt, r.suspectUntil, r.deadUntil, r.refused = now, time.Time{}, time.Time{}, 0
+	r.progressAt, r.suspectUntil, r.deadUntil = now, time.Time{}, time.Time{}
 	clear(r.stalled)
 }
 
@@ -125,16 +121,14 @@
 	t.suspect(upstream, now, "an opening packet was repeated")
 }
 
-// OpeningUnanswered notes that neither a copy nor an acknowledgement followed an opening packet:
-// the caller was refused, or is gone. It reports whether the upstream became suspect.
-func (t *Tracker) OpeningUnanswered(upstream uint64, now time.Time) bool {
-	r := t.of(upstream)
-	r.refused++
-	if r.refused < refusedOpenings {
+// OpeningUnanswered notes that neither a copy nor an acknowledgement followed an opening packet that
+// was sent at a time: the caller was refused, or is gone. An upstream that was heard since is not
+// suspect. It reports whether the upstream is.
+func (t *Tracker) OpeningUnanswered(upstream uint64, sentAt, now time.Time) bool {
+	if t.of(upstream).progressAt.After(sentAt) {
 		return false
 	}
-	r.refused = 0
-	t.suspect(upstream, now, "openings were followed by nothing")
+	t.suspect(upstream, now, "an opening was followed by nothing")
 	return true
 }
 
--- a/suspicion/suspicion_test.go
+++ b/suspicion/suspicion_test.go
@@ -42,15 +42,17 @@
 	g.Expect(tr.IsSuspect(2, at(1000))).To(BeFalse())
 }
 
-// Guards against an upstream that refuses every flow and so never causes a copy.
+// Guards against an upstream that refuses every flow and so never causes a copy: its callers try
+// again at once, and may be sent there again. One that others hear from is not suspect, since
+// a caller's packets may have gone to another daemon.
 func TestRefusedOpenings(t *testing.T) {
 	g := NewWithT(t)
 	tr := suspicion.NewTracker()
-	g.Expect(tr.OpeningUnanswered(1, at(0))).To(BeFalse())
-	tr.Progress(1, at(10))
-	g.Expect(tr.OpeningUnanswered(1, at(20))).To(BeFalse(), "one between answers proves nothing")
-	g.Expect(tr.OpeningUnanswered(1, at(30))).To(BeTrue())
-	g.Expect(tr.IsSuspect(1, at(30))).To(BeTrue())
+	tr.Progress(1, at(110))
+	g.Expect(tr.OpeningUnanswered(1, at(100), at(400))).To(BeFalse())
+	g.Expect(tr.IsSuspect(1, at(400))).To(BeFalse())
+	g.Expect(tr.OpeningUnanswered(1, at(120), at(420))).To(BeTrue())
+	g.Expect(tr.IsSuspect(1, at(420))).To(BeTrue())
 }
 
 // Guards against callers that wait one after the other for an upstream that answers nobody, and
