Index tokens by the services of a route

The index of an address had all upstreams of all services: 65,000 entries for each of 5,600 addresses at the design size.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"iter"
 	"net/netip"
 	"slices"
 	"strings"
@@ -46,8 +47,10 @@
 	UpstreamsKnown bool
 
 	registered map[uint64]*Upstream
-	ready      map[string][]*Upstream
 	departed   map[uint64]departed
+	// ready has the upstreams of a service that take new flows, known all of it that are
+	// registered or departed.
+	ready, known map[string][]*Upstream
 }
 
 // IsComplete reports whether routes and upstreams are both known.
@@ -64,16 +67,22 @@
 // Ready returns the upstreams of a service that take new flows, in the order of their IDs.
 func (s *Snapshot) Ready(service string) []*Upstream { return s.ready[service] }
 
+// Known returns the upstreams of a service that are registered or departed.
+func (s *Snapshot) Known(service string) []*Upstream { return s.known[service] }
+
 // Upstreams returns the number of registered upstreams.
 func (s *Snapshot) Upstreams() int { return len(s.registered) }
 
-// All calls do for each upstream that is registered or departed.
-func (s *Snapshot) All(do func(u *Upstream)) {
-	for _, u := range s.registered {
-		do(u)
-	}
-	for _, d := range s.departed {
-		do(d.upstream)
+// All returns the upstreams that are registered or departed.
+func (s *Snapshot) All() iter.Seq[*Upstream] {
+	return func(yield func(*Upstream) bool) {
+		for _, list := range s.known {
+			for _, u := range list {
+				if !yield(u) {
+					return
+				}
+			}
+		}
 	}
 }
 
@@ -209,11 +218,12 @@
 	now := c.now()
 	s := &Snapshot{
 		Config: c.config, UpstreamsKnown: c.known,
-		registered: make(map[uint64]*Upstream, len(c.upstreams)), ready: map[string][]*Upstream{},
-		departed: make(map[uint64]departed, len(c.departed)),
+		registered: make(map[uint64]*Upstream, len(c.upstreams)), departed: make(map[uint64]departed, len(c.departed)),
+		ready: map[string][]*Upstream{}, known: map[string][]*Upstream{},
 	}
 	for _, u := range c.upstreams {
 		s.registered[u.Key] = u
+		s.known[u.Service] = append(s.known[u.Service], u)
 		if u.State == StateReady {
 			s.ready[u.Service] = append(s.ready[u.Service], u)
 		}
@@ -227,6 +237,7 @@
 			continue
 		}
 		s.departed[key] = d
+		s.known[d.upstream.Service] = append(s.known[d.upstream.Service], d.upstream)
 	}
 	c.current.Store(s)
 }
--- a/inband/steerer_test.go
+++ b/inband/steerer_test.go
@@ -138,6 +138,32 @@
 	w.Expect(w.decide(p).Action).To(Equal(inband.ActionForward))
 }
 
+// Guards against packets of a flow that reach another upstream with the same token: no flow is
+// placed on the younger of two, and all daemons agree on which that is.
+func TestUpstreamsWithOneToken(t *testing.T) {
+	w := newWorld(t)
+	seen := map[uint32]string{}
+	var a, b *catalog.Upstream
+	for i := 0; a == nil; i++ {
+		id := fmt.Sprint(i)
+		token := w.token(id, bindery)
+		if other, taken := seen[token]; taken {
+			a, b = upstream(other, "bindery", "schuur"), upstream(id, "bindery", "schuur")
+		}
+		seen[token] = id
+	}
+	w.catalog.SetUpstreams([]*catalog.Upstream{a, b})
+	_, first := w.open(bindery)
+	for range 20 {
+		w.restart()
+		p, u := w.open(bindery)
+		w.Expect(u.ID).To(Equal(first.ID))
+		w.Expect(w.decide(p).Upstream.ID).To(Equal(first.ID))
+	}
+	_, u := w.open(orders)
+	w.Expect([]string{a.ID, b.ID}).To(ContainElement(u.ID))
+}
+
 // Guards against a reset of a flow whose upstream another daemon learned of earlier, and against
 // a caller that waits for its deadline on an upstream that is known to have ended.
 func TestUnknownTokenIsResetOnlyAfterLaterList(t *testing.T) {
