--- a/inband/steerer_test.go
+++ b/inband/steerer_test.go
@@ -164,6 +164,20 @@
 	w.Expect([]string{a.ID, b.ID}).To(ContainElement(u.ID))
 }
 
+// Guards against a token that reaches an upstream which it does not name at the packet's address.
+func FuzzToken(f *testing.F) {
+	f.Add(uint32(0xC6120001), uint16(8443), uint32(1), uint32(100))
+	f.Add(uint32(0xC6120002), uint16(8443), upstream("b", "", "").Token(bindery), uint32(1))
+	f.Fuzz(func(t *testing.T, ip uint32, servicePort uint16, token, acknowledged uint32) {
+		w := newWorld(t, upstream("b", "bindery", "schuur"), upstream("g", "galerij", "schuur"))
+		key := wire.FlowKey{CallerIP: 1, CallerPort: 2, ServiceIP: ip, ServicePort: servicePort}
+		p := platform.Packet{Flow: key, Token: token, Acknowledged: acknowledged, Acknowledges: true}
+		if v := w.decide(p); v.Action == inband.ActionForward && v.Upstream.Token(key.Service()) != token {
+			t.Fatalf("token %x of %s reaches %s", token, key, v.Upstream.ID)
+		}
+	})
+}
+
 // Guards against a reset of a flow whose upstream another daemon learned of earlier, and against
 // a caller that waits for its deadline on an upstream that is known to have ended.
 func TestUnknownTokenIsResetOnlyAfterLaterList(t *testing.T) {
