--- a/discovery/apply.go
+++ b/discovery/apply.go
@@ -43,7 +43,7 @@
 		return
 	}
 	f.options.Logger.Info().Str("event", "upstreams_changed").Str("origin", origin).
-		Uint64("as_of", uint64(f.kinds[kind].mirror.asOf)).
+		Uint64("version", uint64(f.kinds[kind].mirror.asOf)).
 		Int("put", len(put)).Strs("removed", removed).Int("upstreams", f.options.Catalog.Current().Upstreams()).Send()
 }
 
--- a/logread/logread.go
+++ b/logread/logread.go
@@ -175,7 +175,7 @@
 	case "configuration_changed":
 		b.generation = l.field("generation")
 	case "upstreams_changed":
-		b.asOf, b.upstreams = l.field("as_of"), l.field("upstreams")
+		b.asOf, b.upstreams = l.field("version"), l.field("upstreams")
 	case "store_lost":
 		b.store = "lost at " + l.At.Format("15:04:05.000")
 	case "store_regained":
--- a/logread/logread_test.go
+++ b/logread/logread_test.go
@@ -14,7 +14,7 @@
   1.2 front-2 {"daemon":"front-2","event":"flow","flow":"100.64.0.7:1051>198.18.0.1:8443","action":"reset","reason":"upstream_dead","generation":7,"upstreams_age_ms":400,"time":"2026-12-04T09:00:02.500Z"}
 {"daemon":"front-1","event":"daemon_started","time":"2026-12-04T09:00:00.000Z"}
 {"daemon":"front-1","event":"configuration_changed","generation":7,"time":"2026-12-04T09:00:00.100Z"}
-{"daemon":"front-1","event":"upstreams_changed","as_of":31,"upstreams":17,"time":"2026-12-04T09:00:00.200Z"}
+{"daemon":"front-1","event":"upstreams_changed","version":31,"upstreams":17,"time":"2026-12-04T09:00:00.200Z"}
 {"daemon":"front-1","event":"flow","flow":"100.64.0.7:1051>198.18.0.1:8443","action":"forward","reason":"placed","upstream":"i-a1","zone":"schuur","generation":7,"upstreams_age_ms":300,"time":"2026-12-04T09:00:01.000Z"}
 {"daemon":"front-1","event":"flow","flow":"100.64.0.8:1051>198.18.0.1:8443","action":"forward","reason":"placed","upstream":"i-b2","time":"2026-12-04T09:00:01.100Z"}
 {"daemon":"front-2","event":"upstream_belief","upstream":"i-a1","belief":"dead","evidence":"data was repeated","time":"2026-12-04T09:00:02.400Z"}
