Derive the bounds of failed calls from the pauses

Its bounds (4 to 9, 2 to 4 and 1 to 3 calls in 5 s) left out that each pause is varied by half to either side, so that the verdict hung on chance and not on load.

--- a/discovery/belief_test.go
+++ b/discovery/belief_test.go
@@ -80,8 +80,11 @@
 
 // Guards against a fleet that overruns a store that is down, and a small one that notices its
 // return late.
+//
+// The pause begins at a quarter of its longest (1 s, 2.56 s, 4 s), doubles, and is varied by half to
+// either side, so that the calls of 5 s lie between those with the longest and the shortest pauses.
 func TestPausesOfFailedCalls(t *testing.T) {
-	for daemons, want := range map[int]struct{ least, most int }{0: {4, 9}, 64: {2, 4}, 7900: {1, 3}} {
+	for daemons, want := range map[int]struct{ least, most int }{0: {5, 12}, 64: {3, 6}, 7900: {3, 4}} {
 		g := NewWithT(t)
 		b, calls := &breaker{}, 0
 		g.Expect(b.answered(at(0))).To(BeTrue())
