Never write to a closed channel at the end of the process

flush closed the channel of the log lines; a task that still logged afterwards would have ended the process with a panic. Found by reading. TestLinesAfterFlush fails without the change.

--- a/edge/logging.go
+++ b/edge/logging.go
@@ -29,24 +29,43 @@
 // asyncWriter writes lines in a task of its own and leaves them out when the reader is slow, so
 // that no caller waits for it.
 type asyncWriter struct {
-	lines   chan []byte
-	lost    atomic.Int64
-	done    chan struct{}
-	closing sync.Once
+	lines chan []byte
+	lost  atomic.Int64
+	// stop ends the task, done is closed when it has ended.
+	stop, done chan struct{}
+	stopping   sync.Once
 }
 
 func newAsyncWriter(w io.Writer) *asyncWriter {
-	a := &asyncWriter{lines: make(chan []byte, queuedLines), done: make(chan struct{})}
+	a := &asyncWriter{lines: make(chan []byte, queuedLines), stop: make(chan struct{}), done: make(chan struct{})}
 	go func() {
 		defer close(a.done)
-		for line := range a.lines {
-			// A reader that went away takes the log with it; the daemon goes on.
-			_, _ = w.Write(line)
+		for {
+			select {
+			case line := <-a.lines:
+				// A reader that went away takes the log with it; the daemon goes on.
+				_, _ = w.Write(line)
+			case <-a.stop:
+				a.drain(w)
+				return
+			}
 		}
 	}()
 	return a
 }
 
+// drain writes what is queued.
+func (a *asyncWriter) drain(w io.Writer) {
+	for {
+		select {
+		case line := <-a.lines:
+			_, _ = w.Write(line)
+		default:
+			return
+		}
+	}
+}
+
 // Write implements io.Writer and never blocks.
 func (a *asyncWriter) Write(line []byte) (int, error) {
 	select {
@@ -57,9 +76,10 @@
 	return len(line), nil
 }
 
-// flush writes what is queued for at most the given time. Nothing may be written afterwards.
+// flush writes what is queued for at most the given time. Lines that tasks which have not ended
+// yet write afterwards are lost.
 func (a *asyncWriter) flush(within time.Duration) {
-	a.closing.Do(func() { close(a.lines) })
+	a.stopping.Do(func() { close(a.stop) })
 	select {
 	case <-a.done:
 	case <-time.After(within):
--- a/edge/logging_test.go
+++ b/edge/logging_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,6 +32,23 @@
 	})
 }
 
+// Guards against a process that crashes at its end because a task still logs, and against last lines
+// that are not written.
+func TestLinesAfterFlush(t *testing.T) {
+	g := NewWithT(t)
+	var out strings.Builder
+	a := newAsyncWriter(&out)
+	for range 10 {
+		_, err := a.Write([]byte("line\n"))
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	a.flush(time.Minute)
+	g.Expect(strings.Count(out.String(), "line")).To(Equal(10))
+	_, err := a.Write([]byte("late\n"))
+	g.Expect(err).NotTo(HaveOccurred())
+	a.flush(time.Minute)
+}
+
 // Guards against log volume that grows with the load.
 func TestLineBudget(t *testing.T) {
 	g := NewWithT(t)
