--- a/discovery/belief_test.go
+++ b/discovery/belief_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -26,25 +27,25 @@
 func TestDigest(t *testing.T) {
 	g := NewWithT(t)
 	listed, watched := newMirror(), newMirror()
-	listed.replace(store.Listing{Records: []store.Record{record("a", 1), record("b", 5)}, AsOf: 5})
+	listed.merge(list(5, record("a", 1), record("b", 5)), at(0))
 	for i, c := range []store.Change{
 		{Record: record("b", 2)}, {Record: record("a", 1)}, {Record: record("c", 3)},
 		{Record: record("c", 4), Deleted: true}, {Record: record("b", 5)},
 	} {
-		watched.apply(store.Changes{Changes: []store.Change{c}, AsOf: store.Version(i + 1)})
+		watched.apply(store.Changes{Changes: []store.Change{c}, AsOf: store.Version(i + 1)}, at(i))
 	}
-	g.Expect(watched.digest).To(Equal(listed.digest))
-	watched.apply(store.Changes{Changes: []store.Change{{Record: record("b", 6)}}, AsOf: 6})
-	g.Expect(watched.digest).NotTo(Equal(listed.digest))
+	g.Expect(watched.digest()).To(Equal(listed.digest()))
+	watched.apply(store.Changes{Changes: []store.Change{{Record: record("b", 6)}}, AsOf: 6}, at(6))
+	g.Expect(watched.digest()).NotTo(Equal(listed.digest()))
 }
 
 // Guards against a watch that lags and takes a record back that a list has shown already.
 func TestOlderChangeIsIgnored(t *testing.T) {
 	g := NewWithT(t)
 	m := newMirror()
-	m.replace(store.Listing{Records: []store.Record{record("a", 7)}, AsOf: 8})
-	g.Expect(m.apply(store.Changes{Changes: []store.Change{{Record: record("a", 6)}}, AsOf: 6})).To(BeEmpty())
-	g.Expect(m.apply(store.Changes{Changes: []store.Change{{Record: record("a", 6), Deleted: true}}, AsOf: 6})).To(BeEmpty(), "it was written again since")
+	m.merge(list(8, record("a", 7)), at(0))
+	g.Expect(m.apply(store.Changes{Changes: []store.Change{{Record: record("a", 6)}}, AsOf: 6}, at(1))).To(BeEmpty())
+	g.Expect(m.apply(store.Changes{Changes: []store.Change{{Record: record("a", 6), Deleted: true}}, AsOf: 6}, at(1))).To(BeEmpty(), "it was written again since")
 	g.Expect(m.records["a"].Version).To(Equal(store.Version(7)))
 	g.Expect(m.asOf).To(Equal(store.Version(8)))
 }
@@ -55,13 +56,13 @@
 func TestOnlyProofsMakeACopyYounger(t *testing.T) {
 	g := NewWithT(t)
 	m, b := newMirror(), &belief{}
-	m.replace(store.Listing{Records: []store.Record{record("a", 1)}, AsOf: 1})
-	b.tookList(at(0), true)
-	m.apply(store.Changes{AsOf: 9})
-	g.Expect(b.readAt(bound, 1)).To(Equal(at(1800)))
-	b.tookClaim(Claim{Digest: m.digest, AsOf: 9, ConfirmedAt: at(1000)}, m, at(1005))
-	g.Expect(b.readAt(bound, 0)).To(Equal(at(2200)))
-	b.tookClaim(Claim{Digest: m.digest, AsOf: 9, ConfirmedAt: at(500)}, m, at(1500))
+	m.merge(list(1, record("a", 1)), at(0))
+	b.tookList(at(0))
+	m.apply(store.Changes{AsOf: 9}, at(500))
+	g.Expect(due(b, 1)).To(Equal(at(1800)))
+	b.tookClaim(Claim{Digest: m.digest(), AsOf: 9, ConfirmedAt: at(1000)}, m)
+	g.Expect(due(b, 0)).To(Equal(at(2200)))
+	b.tookClaim(Claim{Digest: m.digest(), AsOf: 9, ConfirmedAt: at(500)}, m)
 	g.Expect(b.confirmedAt).To(Equal(at(1000)), "an older claim says nothing")
 }
 
@@ -70,11 +71,11 @@
 func TestClaimAdvancesTheVersion(t *testing.T) {
 	g := NewWithT(t)
 	m, b := newMirror(), &belief{}
-	m.replace(store.Listing{Records: []store.Record{record("a", 5)}, AsOf: 5})
-	b.tookList(at(0), true)
-	b.tookClaim(Claim{Digest: m.digest, AsOf: 90, ConfirmedAt: at(100)}, m, at(100))
+	m.merge(list(5, record("a", 5)), at(0))
+	b.tookList(at(0))
+	b.tookClaim(Claim{Digest: m.digest(), AsOf: 90, ConfirmedAt: at(100)}, m)
 	g.Expect(m.asOf).To(Equal(store.Version(90)))
-	b.tookClaim(Claim{Digest: m.digest + 1, AsOf: 95, ConfirmedAt: at(200)}, m, at(200))
+	b.tookClaim(Claim{Digest: m.digest() + 1, AsOf: 95, ConfirmedAt: at(200)}, m)
 	g.Expect(m.asOf).To(Equal(store.Version(90)), "other records")
 }
 
@@ -102,19 +103,36 @@
 	}
 }
 
-// Guards against a daemon that stays behind although another one knows more, against one that
-// reads at once what its watch is about to show, and against one that follows an older copy.
+// Guards against a daemon that stays behind although another one knows more, against one that asks
+// others for what it knows already, and against news that wait in one daemon until all have read the
+// store (the calls of 90 daemons doubled).
 func TestClaimOfOtherRecords(t *testing.T) {
 	g := NewWithT(t)
 	m, b := newMirror(), &belief{}
-	m.replace(store.Listing{Records: []store.Record{record("a", 5)}, AsOf: 5})
-	b.tookList(at(0), true)
-	b.tookClaim(Claim{Digest: 1, AsOf: 4, ConfirmedAt: at(100)}, m, at(100))
-	g.Expect(b.readAt(bound, 0)).To(Equal(at(1200)), "the other one is behind")
-	b.tookClaim(Claim{Digest: 1, AsOf: 6, ConfirmedAt: at(100)}, m, at(100))
-	g.Expect(b.readAt(bound, 0)).To(Equal(at(300)))
-	b.changed()
-	g.Expect(b.readAt(bound, 0)).To(Equal(at(1200)), "the watch has shown it")
+	m.merge(list(5, record("a", 5)), at(0))
+	b.tookList(at(0))
+	other := Claim{Digest: 1, AsOf: 4, From: netip.MustParseAddr("127.0.0.2")}
+	other.ConfirmedAt = at(200)
+	b.tookClaim(other, m)
+	g.Expect(due(b, 0)).To(Equal(at(1200)), "the same list, heard later")
+	other.ConfirmedAt = at(700)
+	b.tookClaim(other, m)
+	g.Expect(due(b, 0)).To(Equal(at(700)), "at once, even if the copy is ahead in some records")
+	b.tookList(at(650))
+	g.Expect(due(b, 0)).To(Equal(at(1850)), "a list has shown it")
+	b.tookClaim(Claim{Digest: m.digest(), ConfirmedAt: at(900)}, m)
+	other.ConfirmedAt = at(800)
+	b.tookClaim(other, m)
+	g.Expect(due(b, 0)).To(Equal(at(2100)), "the other one is behind")
+}
+
+// Guards against a daemon that never proves what it began with, when no other daemon answers.
+func TestUnprovenCopyIsReadSoon(t *testing.T) {
+	g := NewWithT(t)
+	b := &belief{unprovenSince: at(0)}
+	g.Expect(due(b, 1)).To(Equal(at(600)))
+	b.tookClaim(Claim{Digest: 1, ConfirmedAt: at(10), From: netip.MustParseAddr("127.0.0.2")}, newMirror())
+	g.Expect(due(b, 1)).To(Equal(at(10)))
 }
 
 // Guards against a fleet whose daemons all read at once: the calls of the store must grow more
@@ -142,3 +160,14 @@
 		})
 	}
 }
+
+// due returns when the copy is to be read again.
+func due(b *belief, spread float64) time.Time {
+	at, _ := b.readAt(bound, spread)
+	return at
+}
+
+// list returns a complete list.
+func list(asOf int, records ...store.Record) Part {
+	return Part{AsOf: store.Version(asOf), Buckets: allBuckets(), Records: records}
+}
--- a/discovery/claims.go
+++ b/discovery/claims.go
@@ -12,26 +12,26 @@
 )
 
 // TookClaim takes into account what another daemon says of its records. It reports whether the
-// age of the copy fell by at least the given time, so that others should hear of it.
-func (f *Follower) TookClaim(c Claim, news time.Duration) bool {
+// copy became so much younger that others should hear of it.
+func (f *Follower) TookClaim(c Claim) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	k := f.kinds[c.Kind]
-	if k == nil || k.lists == 0 {
+	if k == nil || !k.isKnown() {
 		return false
 	}
-	before, differs, asOf := k.belief.confirmedAt, k.belief.differsSince, k.mirror.asOf
-	k.belief.tookClaim(c, k.mirror, time.Now())
+	before, asOf := k.belief.confirmedAt, k.mirror.asOf
+	k.belief.tookClaim(c, k.mirror)
 	if k.mirror.asOf > asOf {
 		notify(f.advanced[c.Kind])
 	}
-	if !k.belief.differsSince.Equal(differs) {
+	if k.belief.better.From.IsValid() {
 		notify(f.wake[c.Kind])
-		notify(f.behind[c.Kind])
 	}
-	if k.belief.confirmedAt.Sub(before) < news {
+	if k.belief.confirmedAt.Sub(before) < newsStep {
 		return false
 	}
+	k.mirror.forgetRemoved(k.belief.confirmedAt)
 	k.spread = spread(rand.Float64(), f.daemons())
 	return true
 }
@@ -42,29 +42,31 @@
 	defer f.mu.Unlock()
 	var claims []Claim
 	for _, kind := range Kinds() {
-		if k := f.kinds[kind]; k.lists > 0 {
-			claims = append(claims, Claim{Kind: kind, Digest: k.mirror.digest, AsOf: k.mirror.asOf, ConfirmedAt: k.belief.confirmedAt})
+		if k := f.kinds[kind]; !k.belief.confirmedAt.IsZero() {
+			claims = append(claims, Claim{
+				Kind: kind, Digest: k.mirror.digest(), AsOf: k.mirror.asOf,
+				ProvenAsOf: k.mirror.provenAsOf, ConfirmedAt: k.belief.confirmedAt,
+			})
 		}
 	}
 	return claims
 }
 
-// ErrNotKnown means that the records of a kind were never read.
+// ErrNotKnown means that the records of a kind were never read, or that nothing proves them yet.
 var ErrNotKnown = errors.New("records are not known yet")
 
-// Records returns the copy of a kind and when it was the newest, or ErrNotKnown.
-func (f *Follower) Records(kind store.Kind) (store.Listing, time.Time, error) {
+// Records returns the parts of the copy of a kind whose digests differ from the given ones, all of
+// it if none are given, or ErrNotKnown.
+func (f *Follower) Records(kind store.Kind, digests []uint64) (Part, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	k := f.kinds[kind]
-	if k == nil || k.lists == 0 {
-		return store.Listing{}, time.Time{}, fmt.Errorf("%s: %w", kind, ErrNotKnown)
+	if k == nil || k.belief.confirmedAt.IsZero() {
+		return Part{}, fmt.Errorf("%s: %w", kind, ErrNotKnown)
 	}
-	l := store.Listing{AsOf: k.mirror.asOf}
-	for _, r := range k.mirror.records {
-		l.Records = append(l.Records, r)
-	}
-	return l, k.belief.confirmedAt, nil
+	p := k.mirror.part(digests)
+	p.ConfirmedAt = k.belief.confirmedAt
+	return p, nil
 }
 
 // ConfirmedAt returns when a kind was last known to be the newest.
@@ -80,8 +82,8 @@
 // UpstreamsConfirmedAt returns when the upstreams were last known to be the newest.
 func (f *Follower) UpstreamsConfirmedAt() time.Time { return f.ConfirmedAt(platform.KindUpstreams) }
 
-// UpstreamsListedSince reports whether a complete list of upstreams was begun after t and long
-// enough after the store's return for lapsed entries to be back. It asks for one if not.
+// UpstreamsListedSince reports whether the upstreams were known to be the newest after t and long
+// enough after the store's return for lapsed entries to be back. It asks for a list if not.
 func (f *Follower) UpstreamsListedSince(t time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -90,7 +92,7 @@
 	if answersSince.IsZero() {
 		return false
 	}
-	listed := k.belief.listedAt
+	listed := k.belief.confirmedAt
 	if listed.After(t) && listed.Sub(answersSince) >= catalog.LapseGrace {
 		return true
 	}
--- a/discovery/confirm.go
+++ b/discovery/confirm.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -24,30 +26,23 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, firstRecordsWait)
 	defer cancel()
-	f.listFromDaemon(ctx, kind)
+	if err := f.listFromDaemon(ctx, kind, netip.Addr{}); err != nil {
+		f.options.Counters.Count("retry.first_records")
+	}
 }
 
-// keepConfirmed lists a kind whenever nothing else has confirmed the copy for too long. While the
-// store does not answer, it asks a daemon that knows more.
+// keepConfirmed reads a kind whenever nothing else has confirmed the copy for too long: from a daemon
+// whose records were confirmed lately, else from the store.
 func (f *Follower) keepConfirmed(ctx context.Context, kind store.Kind) error {
 	delays := newBackoff()
 	for {
-		if err := f.waitUntilDue(ctx, kind); err != nil {
+		why, err := f.waitUntilDue(ctx, kind)
+		if err != nil {
 			return err
 		}
-		if f.breaker.allows(time.Now()) {
-			err := f.listFromStore(ctx, kind)
-			if err == nil {
-				delays.Reset()
-				continue
-			}
-			if ctx.Err() != nil {
-				return ctx.Err()
-			}
-			f.lost(kind, err)
-		}
-		if f.isBehind(kind) {
-			f.listFromDaemon(ctx, kind)
+		if err := f.read(ctx, kind, why); err == nil {
+			delays.Reset()
+			continue
 		}
 		if err := wait.For(ctx, delays.NextBackOff()); err != nil {
 			return err
@@ -55,32 +50,73 @@
 	}
 }
 
+// read brings the copy of a kind up to date, or returns why nobody could.
+func (f *Follower) read(ctx context.Context, kind store.Kind, why cause) error {
+	if from := f.sourceOf(kind); from.IsValid() && why != causeWanted {
+		err := f.listFromDaemon(ctx, kind, from)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		f.mu.Lock()
+		f.kinds[kind].belief.better = Claim{}
+		f.mu.Unlock()
+	}
+	if f.breaker.allows(time.Now()) {
+		err := f.listFromStore(ctx, kind, why)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		if !errors.Is(err, store.ErrRateLimited) {
+			f.lost(kind, err)
+		}
+	}
+	if !f.isBehind(kind) {
+		return errNobodyKnowsMore
+	}
+	return f.listFromDaemon(ctx, kind, netip.Addr{})
+}
+
+// errNobodyKnowsMore means that the store does not answer and that no other daemon is known to have
+// newer records.
+var errNobodyKnowsMore = errors.New("no other daemon is known to have newer records")
+
+// sourceOf returns a daemon whose records were confirmed later, the zero address if none is known.
+func (f *Follower) sourceOf(kind store.Kind) netip.Addr {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.kinds[kind].belief.better.From
+}
+
 // isBehind reports whether another daemon may have newer records.
 func (f *Follower) isBehind(kind store.Kind) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	k := f.kinds[kind]
-	return k.lists == 0 || !k.belief.differsSince.IsZero()
+	return k.belief.confirmedAt.IsZero() || k.belief.better.From.IsValid()
 }
 
-// waitUntilDue returns when a kind is to be listed.
-func (f *Follower) waitUntilDue(ctx context.Context, kind store.Kind) error {
+// waitUntilDue returns when a kind is to be listed, and why.
+func (f *Follower) waitUntilDue(ctx context.Context, kind store.Kind) (cause, error) {
 	for {
 		f.mu.Lock()
 		k := f.kinds[kind]
-		until := time.Until(k.belief.readAt(f.options.Bound, k.spread))
+		at, why := k.belief.readAt(f.options.Bound, k.spread)
 		if f.wanted[kind] {
-			until = 0
+			at, why = time.Time{}, causeWanted
+		}
+		if !k.isKnown() {
+			at, why = time.Time{}, causeFirst
 		}
 		f.mu.Unlock()
+		until := time.Until(at)
 		if until <= 0 {
-			return nil
+			return why, nil
 		}
 		timer := time.NewTimer(until)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
-			return ctx.Err()
+			return why, ctx.Err()
 		case <-timer.C:
 		case <-f.wake[kind]:
 			timer.Stop()
@@ -95,55 +131,98 @@
 	}
 }
 
-func (f *Follower) listFromStore(ctx context.Context, kind store.Kind) error {
+func (f *Follower) listFromStore(ctx context.Context, kind store.Kind, why cause) error {
 	f.mu.Lock()
 	f.wanted[kind] = false
+	confirmedAt := f.kinds[kind].belief.confirmedAt
 	f.mu.Unlock()
+	f.options.Counters.Count("store.list." + string(why))
 	began := time.Now()
-	l, err := f.list(ctx, kind)
+	l, err := f.list(ctx, kind, why)
 	if err != nil {
 		return err
 	}
-	f.took(kind, l, began, true)
-	if f.onConfirmed != nil {
-		f.onConfirmed()
+	f.options.Logger.Info().Str("event", "store_listed").Str("kind", string(kind)).Str("cause", string(why)).
+		Uint64("version", uint64(l.AsOf)).Int("records", len(l.Records)).Bool("may_lag", l.MayLag).
+		Dur("took_ms", time.Since(began)).Dur("age_ms", sinceIfKnown(began, confirmedAt)).Send()
+	f.answered()
+	if l.MayLag {
+		f.tookUnproven(kind, l)
+		return nil
 	}
+	f.took(kind, Part{AsOf: l.AsOf, Buckets: allBuckets(), Records: l.Records, ConfirmedAt: began}, true)
 	return nil
 }
 
-// listFromDaemon asks another daemon, so that one which the store refuses is not left behind.
-func (f *Follower) listFromDaemon(ctx context.Context, kind store.Kind) {
+// sinceIfKnown returns the time from one moment to a later one, and none from the zero time.
+func sinceIfKnown(later, earlier time.Time) time.Duration {
+	if earlier.IsZero() {
+		return 0
+	}
+	return later.Sub(earlier)
+}
+
+// errNotNewer means that another daemon's records were confirmed no later than the copy.
+var errNotNewer = errors.New("the records of the other daemon are no newer")
+
+// listFromDaemon takes what differs from another daemon, from any if the address is zero. So the store
+// has few calls, and a daemon which it refuses is not left behind.
+func (f *Follower) listFromDaemon(ctx context.Context, kind store.Kind, from netip.Addr) error {
 	if f.source == nil {
-		return
+		return errNobodyKnowsMore
 	}
-	l, at, err := f.source.ListRecords(ctx, kind)
+	f.mu.Lock()
+	digests := f.kinds[kind].mirror.buckets
+	f.mu.Unlock()
+	began := time.Now()
+	p, err := f.source.ListRecords(ctx, kind, from, digests[:])
 	if err != nil {
 		f.options.Counters.Count("retry.daemon_list")
-		f.options.Logger.Debug().Str("event", "daemon_list_failed").Str("kind", string(kind)).Err(err).Send()
-		return
+		f.options.Logger.Info().Str("event", "daemon_list_failed").Str("kind", string(kind)).Err(err).Send()
+		return err
+	}
+	confirmedAt := f.ConfirmedAt(kind)
+	if !p.ConfirmedAt.After(confirmedAt) {
+		f.options.Counters.Count("retry.daemon_list_old")
+		return errNotNewer
 	}
+	f.options.Logger.Info().Str("event", "daemon_listed").Str("kind", string(kind)).Stringer("from", from).
+		Uint64("version", uint64(p.AsOf)).Int("buckets", len(p.Buckets)).Int("records", len(p.Records)).
+		Dur("took_ms", time.Since(began)).Dur("age_ms", sinceIfKnown(began, confirmedAt)).
+		Dur("its_age_ms", time.Since(p.ConfirmedAt)).Send()
+	f.took(kind, p, false)
+	return nil
+}
+
+// took puts records in force that were the newest at a time, and tells others.
+func (f *Follower) took(kind store.Kind, p Part, fromStore bool) {
 	f.mu.Lock()
 	k := f.kinds[kind]
-	isNewer := at.After(k.belief.confirmedAt) && l.AsOf >= k.mirror.asOf
+	isFirst := !k.isKnown()
+	k.belief.tookList(p.ConfirmedAt)
+	k.spread = spread(rand.Float64(), f.daemons())
+	f.apply(kind, k.mirror.merge(p, time.Now()), isFirst, fromStore)
+	k.mirror.forgetRemoved(p.ConfirmedAt)
 	f.mu.Unlock()
-	if isNewer {
-		f.took(kind, l, at, false)
+	notify(f.advanced[kind])
+	if f.onConfirmed != nil {
+		f.onConfirmed()
 	}
 }
 
-// took puts a complete list in force that was the newest at a time.
-func (f *Follower) took(kind store.Kind, l store.Listing, at time.Time, fromStore bool) {
+// tookUnproven puts records in force that may be seconds old. It is called only while a kind is not
+// known. Nothing is taken for gone until the copy is confirmed.
+func (f *Follower) tookUnproven(kind store.Kind, l store.Listing) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	k := f.kinds[kind]
-	isFirst := k.lists == 0
-	k.lists++
-	k.belief.tookList(at, fromStore)
-	k.spread = spread(rand.Float64(), f.daemons())
-	f.apply(kind, k.mirror.replace(l), isFirst, fromStore)
-	f.mu.Unlock()
-	if fromStore {
-		f.answered()
+	if k.isKnown() {
+		return
 	}
+	k.belief.unprovenSince = time.Now()
+	k.spread = spread(rand.Float64(), startingDaemons)
+	f.apply(kind, k.mirror.merge(Part{Records: l.Records}, time.Now()), true, true)
+	k.mirror.asOf = l.AsOf
 	notify(f.advanced[kind])
 }
 
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -27,6 +28,9 @@
 	// zones, and firstRecordsWait for the records of one.
 	firstHeardWait   = 5 * time.Millisecond
 	firstRecordsWait = 40 * time.Millisecond
+	// startingDaemons is how many others a daemon that has heard none assumes to start with it, so
+	// that few read the store when no seed answers: as many as it can come to know.
+	startingDaemons = 64
 	// minListInterval bounds the lists that packets can cause; a caller repeats its packet
 	// after 200 ms and 600 ms.
 	minListInterval = 300 * time.Millisecond
@@ -39,11 +43,13 @@
 
 // Source lists the records that another daemon holds.
 type Source interface {
-	// ListRecords returns a list and when it was the newest. It returns an error when no
-	// daemon gives one.
-	ListRecords(ctx context.Context, kind store.Kind) (store.Listing, time.Time, error)
+	// ListRecords returns those parts of a daemon's copy that differ from the digests. The zero
+	// address stands for any daemon. It returns an error when none gives its records.
+	ListRecords(ctx context.Context, kind store.Kind, from netip.Addr, digests []uint64) (Part, error)
 	// Daemons returns the number of other daemons that were heard lately.
 	Daemons() int
+	// IsSeed reports whether the others are told of this daemon in their settings, or nobody is.
+	IsSeed() bool
 }
 
 // Options are what a Follower works with.
@@ -60,12 +66,15 @@
 type kindState struct {
 	mirror *mirror
 	belief belief
-	// lists counts complete lists, so that a watch notices one that came in between.
-	lists int
 	// spread is drawn anew after each confirmation.
 	spread float64
 }
 
+// isKnown reports whether there is a copy, proved or not.
+func (k *kindState) isKnown() bool {
+	return !k.belief.confirmedAt.IsZero() || !k.belief.unprovenSince.IsZero()
+}
+
 // Follower keeps copies of the store's records. It implements inband.Belief. Its methods may be
 // called concurrently.
 type Follower struct {
@@ -74,15 +83,14 @@
 	breaker breaker
 	// wake ends the wait for the next list early.
 	wake map[store.Kind]chan struct{}
-	// advanced wakes the watch of a kind when the version of the copy has risen, behind ends its
-	// pause when another daemon knows more.
-	advanced, behind map[store.Kind]chan struct{}
+	// advanced wakes the watch of a kind when the version of the copy has risen.
+	advanced map[store.Kind]chan struct{}
 
 	mu    sync.Mutex
 	kinds map[store.Kind]*kindState
 	// wanted asks for a list, whatever the age of the copy.
 	wanted map[store.Kind]bool
-	// onConfirmed is called without the lock after a confirmation by the store.
+	// onConfirmed is called without the lock after the copy was confirmed by a list.
 	onConfirmed func()
 }
 
@@ -95,19 +103,18 @@
 func NewFollower(o Options) *Follower {
 	f := &Follower{
 		options: o, wake: map[store.Kind]chan struct{}{}, advanced: map[store.Kind]chan struct{}{},
-		behind: map[store.Kind]chan struct{}{}, kinds: map[store.Kind]*kindState{}, wanted: map[store.Kind]bool{},
+		kinds: map[store.Kind]*kindState{}, wanted: map[store.Kind]bool{},
 	}
 	for _, kind := range Kinds() {
 		f.wake[kind] = make(chan struct{}, 1)
 		f.advanced[kind] = make(chan struct{}, 1)
-		f.behind[kind] = make(chan struct{}, 1)
 		f.kinds[kind] = &kindState{mirror: newMirror()}
 	}
 	return f
 }
 
 // Join sets where records come from when the store does not answer, and what is called after
-// the store confirmed a copy. It must be called before Run.
+// a list confirmed a copy. It must be called before Run.
 func (f *Follower) Join(source Source, onConfirmed func()) {
 	f.source, f.onConfirmed = source, onConfirmed
 }
--- a/discovery/list.go
+++ b/discovery/list.go
@@ -21,12 +21,15 @@
 	maxRatePauses  = 5
 )
 
-// list reads all records of a kind from the store. It gives up when another daemon has them.
-func (f *Follower) list(ctx context.Context, kind store.Kind) (store.Listing, error) {
-	var l store.Listing
+// list reads all records of a kind from the store. When a whole fleet starts at once, only the seeds
+// read the newest records. The others begin with records that may lag, which the seeds' claims
+// confirm or correct; so the store's rate suffices for a fleet of any size. A seed that the store
+// refuses for its rate does the same.
+func (f *Follower) list(ctx context.Context, kind store.Kind, why cause) (store.Listing, error) {
+	l := store.Listing{MayLag: why == causeFirst && f.source != nil && !f.source.IsSeed()}
 	after := ""
 	for n := range maxPages {
-		p, err := f.listPage(ctx, kind, after)
+		p, err := f.listPage(ctx, kind, after, why, &l)
 		if err != nil {
 			return store.Listing{}, err
 		}
@@ -42,14 +45,24 @@
 	return store.Listing{}, fmt.Errorf("list %s: more than %d pages: %w", kind, maxPages, store.ErrTooLarge)
 }
 
-func (f *Follower) listPage(ctx context.Context, kind store.Kind, after string) (store.Page, error) {
+func (f *Follower) listPage(ctx context.Context, kind store.Kind, after string, why cause, l *store.Listing) (store.Page, error) {
+	if l.MayLag {
+		return f.options.Store.ListPage(ctx, kind, after, store.Lagging)
+	}
 	pause := firstRatePause
 	for try := 0; ; try++ {
-		p, err := f.options.Store.ListPage(ctx, kind, after)
-		if !errors.Is(err, store.ErrRateLimited) || try == maxRatePauses || after == "" {
+		p, err := f.options.Store.ListPage(ctx, kind, after, store.Newest)
+		if !errors.Is(err, store.ErrRateLimited) {
 			return p, err
 		}
 		f.options.Counters.Count("retry.store_rate")
+		if why == causeFirst {
+			l.MayLag = true
+			return f.options.Store.ListPage(ctx, kind, after, store.Lagging)
+		}
+		if try == maxRatePauses || after == "" {
+			return p, err
+		}
 		if err := wait.For(ctx, pause/2+rand.N(pause)); err != nil {
 			return store.Page{}, err
 		}
--- a/discovery/list_test.go
+++ b/discovery/list_test.go
@@ -24,7 +24,7 @@
 	refuses func(call int) bool
 }
 
-func (s *pagedStore) ListPage(_ context.Context, _ store.Kind, after string) (store.Page, error) {
+func (s *pagedStore) ListPage(_ context.Context, _ store.Kind, after string, _ store.Consistency) (store.Page, error) {
 	s.calls++
 	if s.refuses(s.calls) {
 		return store.Page{}, store.ErrRateLimited
@@ -57,14 +57,14 @@
 		g := NewWithT(t)
 		s := &pagedStore{records: 60, refuses: func(call int) bool { return call%2 == 0 }}
 		f := NewFollower(Options{Store: s, Catalog: catalog.New(time.Now), Counters: telemetry.NewCounters(), Logger: zerolog.Nop()})
-		l, err := f.list(t.Context(), "servers")
+		l, err := f.list(t.Context(), "servers", causeAge)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(l.Records).To(HaveLen(60))
 		g.Expect(l.AsOf).To(Equal(store.Version(10)), "of the first page")
 		g.Expect(s.calls).To(BeNumerically("<=", 120))
 		s.refuses = func(int) bool { return true }
 		s.calls = 0
-		_, err = f.list(t.Context(), "servers")
+		_, err = f.list(t.Context(), "servers", causeAge)
 		g.Expect(err).To(MatchError(store.ErrRateLimited))
 		g.Expect(s.calls).To(Equal(1))
 	})
@@ -80,13 +80,13 @@
 		return store.Record{Name: "i-a1", Version: store.Version(version), Body: []byte(
 			`{"service":"s","address":"127.0.0.1:80","zone":"z","version":"v1","slots":2,"state":"ready","cold_remaining_ms":0,"seq":4,"born":1}`)}
 	}
-	f.took(platform.KindUpstreams, store.Listing{Records: []store.Record{entry(5)}, AsOf: 5}, time.Now(), true)
+	f.took(platform.KindUpstreams, list(5, entry(5)), true)
 	f.tookChanges(platform.KindUpstreams, store.Changes{AsOf: 9, Changes: []store.Change{
 		{Record: entry(7), Deleted: true}, {Record: entry(9)},
-	}}, 1)
+	}})
 	g.Expect(c.Current().Upstreams()).To(Equal(1))
 	f.tookChanges(platform.KindUpstreams, store.Changes{AsOf: 12, Changes: []store.Change{
 		{Record: entry(11)}, {Record: entry(12), Deleted: true},
-	}}, 1)
+	}})
 	g.Expect(c.Current().Upstreams()).To(BeZero())
 }
--- a/discovery/watch.go
+++ b/discovery/watch.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/fulmarfield/fulmarfield/internal/wait"
 	"github.com/fulmarfield/fulmarfield/store"
 )
 
@@ -16,9 +17,9 @@
 	delays := newBackoff()
 	for {
 		f.mu.Lock()
-		after, lists := f.kinds[kind].mirror.asOf, f.kinds[kind].lists
+		after, isKnown := f.kinds[kind].mirror.asOf, f.kinds[kind].isKnown()
 		f.mu.Unlock()
-		if lists == 0 {
+		if !isKnown {
 			if err := f.waitForAdvance(ctx, kind); err != nil {
 				return err
 			}
@@ -26,9 +27,8 @@
 		}
 		wasOpen := f.breaker.isOpen()
 		if wasOpen && !f.breaker.allows(time.Now()) {
-			f.pause(ctx, kind, openPoll)
-			if ctx.Err() != nil {
-				return ctx.Err()
+			if err := wait.For(ctx, openPoll); err != nil {
+				return err
 			}
 			continue
 		}
@@ -47,38 +47,24 @@
 			if wasOpen {
 				f.lost(kind, err)
 			}
-			f.pause(ctx, kind, delays.NextBackOff())
+			if err := wait.For(ctx, delays.NextBackOff()); err != nil {
+				return err
+			}
 		default:
 			delays.Reset()
 			f.answered()
-			if f.tookChanges(kind, c, lists) > 0 {
-				f.settle(ctx, kind)
+			if f.tookChanges(kind, c) == 0 {
+				continue
+			}
+			// More changes gather meanwhile.
+			least := time.Duration(settleShare * float64(f.options.Bound))
+			if err := wait.For(ctx, least+rand.N(least)); err != nil {
+				return err
 			}
 		}
 	}
 }
 
-// settle waits for more changes, or until another daemon knows more.
-func (f *Follower) settle(ctx context.Context, kind store.Kind) {
-	select {
-	case <-f.behind[kind]: // It knew more before the changes that were just taken over.
-	default:
-	}
-	least := time.Duration(settleShare * float64(f.options.Bound))
-	f.pause(ctx, kind, least+rand.N(least))
-}
-
-// pause waits for a time that ends early when another daemon knows more.
-func (f *Follower) pause(ctx context.Context, kind store.Kind, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-f.behind[kind]:
-	}
-}
-
 // waitForAdvance waits for a list, or for a daemon with the same records that knows them of a
 // later version.
 func (f *Follower) waitForAdvance(ctx context.Context, kind store.Kind) error {
@@ -90,22 +76,13 @@
 	}
 }
 
-// tookChanges puts in force what a watch showed that was begun after the given number of lists,
-// and returns the number of changes.
-func (f *Follower) tookChanges(kind store.Kind, c store.Changes, lists int) int {
+// tookChanges puts in force what a watch showed, and returns the number of changes.
+func (f *Follower) tookChanges(kind store.Kind, c store.Changes) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	k := f.kinds[kind]
-	if k.lists != lists {
-		// A list has shown these changes already, unless the watch saw further than it.
-		if c.AsOf > k.mirror.asOf && len(c.Changes) > 0 {
-			f.wantLocked(kind)
-		}
-		return 0
-	}
-	news := k.mirror.apply(c)
+	news := k.mirror.apply(c, time.Now())
 	if len(news) > 0 {
-		k.belief.changed()
 		f.apply(kind, news, false, true)
 	}
 	return len(news)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,15 +33,14 @@
 	fanout = 4
 	// namedDaemons is how many daemons a datagram names.
 	namedDaemons = 6
-	// newsStep is by how much a copy must have become younger to be passed on.
-	newsStep = 300 * time.Millisecond
 	// helloInterval is how often a daemon that has nothing to tell sends to one other, well
 	// within memberTimeout.
 	helloInterval = time.Second
 	// seedRounds is every which greeting goes to the seeds as well, so that parts of a fleet that
 	// were cut off for longer than memberTimeout find each other again.
 	seedRounds = 10
-	// joinInterval is how often a daemon that knows no other sends to the seeds.
+	// joinInterval is how often a daemon sends that knows no other, or whose copies are not
+	// confirmed.
 	joinInterval = 200 * time.Millisecond
 	// pauseLimit is a gap between ticks that shows that this VM stood still. What waited in the
 	// socket meanwhile is older than it says.
@@ -63,6 +63,9 @@
 	Follower *discovery.Follower
 	Counters *telemetry.Counters
 	Logger   zerolog.Logger
+	// Transport reaches the records of other daemons; nil stands for connections to their internal
+	// ports.
+	Transport http.RoundTripper
 }
 
 // Fleet exchanges claims with other daemons. It implements discovery.Source. Its methods may be
@@ -83,12 +86,13 @@
 // New returns a Fleet that knows no other daemon.
 func New(o Options) *Fleet {
 	local := o.Conn.LocalAddr()
-	dialer := &net.Dialer{Timeout: recordsTimeout}
+	if o.Transport == nil {
+		dialer := &net.Dialer{Timeout: recordsTimeout}
+		o.Transport = &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
+	}
 	return &Fleet{
 		options: o, port: local.Port(), members: newMembers(local.Addr()), tickedAt: time.Now(),
-		http: &http.Client{Transport: &http.Transport{
-			DialContext: dialer.DialContext, DisableKeepAlives: true,
-		}},
+		http: &http.Client{Transport: o.Transport},
 	}
 }
 
@@ -100,10 +104,11 @@
 	return group.Wait()
 }
 
-// greet sends to the seeds until another daemon is heard, and later to one that was heard and one
-// that was only named at a time.
+// greet sends to the seeds until another daemon is heard, and to several until the copies are
+// confirmed; later to one that was heard and one that was only named at a time.
 func (f *Fleet) greet(ctx context.Context) error {
 	for round := 0; ; round++ {
+		isProven := len(f.options.Follower.Claims()) == len(discovery.Kinds())
 		f.mu.Lock()
 		now := time.Now()
 		if now.Sub(f.tickedAt) > helloInterval+pauseLimit {
@@ -115,19 +120,15 @@
 		if isAlone {
 			f.members.named(f.options.Seeds(), now)
 		}
-		to := append(f.members.pick(1), f.members.unheard()...)
-		if isAlone {
-			to = f.members.pick(fanout)
+		to, interval := append(f.members.pick(1), f.members.unheard()...), helloInterval
+		if isAlone || !isProven {
+			to, interval = f.members.pick(fanout), joinInterval
 		}
 		f.mu.Unlock()
 		if !isAlone && round%seedRounds == 0 {
 			to = append(to, f.options.Seeds()...)
 		}
 		f.send(to)
-		interval := helloInterval
-		if isAlone {
-			interval = joinInterval
-		}
 		if err := wait.For(ctx, interval); err != nil {
 			return err
 		}
@@ -155,6 +156,12 @@
 	return len(f.members.heard)
 }
 
+// IsSeed implements discovery.Source.
+func (f *Fleet) IsSeed() bool {
+	seeds := f.options.Seeds()
+	return len(seeds) == 0 || slices.Contains(seeds, f.members.self)
+}
+
 func (f *Fleet) send(to []netip.Addr) {
 	if len(to) == 0 {
 		return
@@ -171,7 +178,8 @@
 	now := time.Now()
 	for _, c := range f.options.Follower.Claims() {
 		m.Confirmations = append(m.Confirmations, &pb.Confirmation{
-			Kind: string(c.Kind), Digest: c.Digest, AsOf: uint64(c.AsOf), AgeMs: milliseconds(now.Sub(c.ConfirmedAt)),
+			Kind: string(c.Kind), Digest: c.Digest, AsOf: uint64(c.AsOf), ProvenAsOf: uint64(c.ProvenAsOf),
+			AgeMs: milliseconds(now.Sub(c.ConfirmedAt)),
 		})
 	}
 	raw, err := proto.Marshal(m)
@@ -241,12 +249,17 @@
 	isNews := false
 	for _, c := range m.GetConfirmations() {
 		isNews = f.options.Follower.TookClaim(discovery.Claim{
-			Kind: store.Kind(c.GetKind()), Digest: c.GetDigest(), AsOf: store.Version(c.GetAsOf()),
+			Kind: store.Kind(c.GetKind()), Digest: c.GetDigest(), From: from,
+			AsOf: store.Version(c.GetAsOf()), ProvenAsOf: store.Version(c.GetProvenAsOf()),
 			ConfirmedAt: now.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond),
-		}, newsStep) || isNews
+		}) || isNews
 	}
 	if isNew && !m.GetIsLeaving() {
-		f.options.Logger.Info().Str("event", "daemon_heard").Stringer("address", from).Str("zone", m.GetZone()).Send()
+		f.options.Logger.Debug().Str("event", "daemon_heard").Stringer("address", from).Str("zone", m.GetZone()).Send()
+	}
+	// One whose copies nothing confirms is answered even if it is known or the table is full.
+	needsClaims := len(m.GetConfirmations()) < len(f.options.Follower.Claims())
+	if (isNew || needsClaims) && !m.GetIsLeaving() {
 		f.send([]netip.Addr{from})
 	}
 	if isNews {
@@ -254,25 +267,34 @@
 	}
 }
 
-// ListRecords implements discovery.Source with the records of a daemon taken at random.
-func (f *Fleet) ListRecords(ctx context.Context, kind store.Kind) (store.Listing, time.Time, error) {
-	f.mu.Lock()
-	to := f.members.pick(1)
-	f.mu.Unlock()
-	if len(to) == 0 {
-		return store.Listing{}, time.Time{}, fmt.Errorf("%s: %w", kind, ErrNoDaemon)
+// ListRecords implements discovery.Source; the zero address stands for a daemon taken at random.
+func (f *Fleet) ListRecords(ctx context.Context, kind store.Kind, from netip.Addr, digests []uint64) (discovery.Part, error) {
+	if !from.IsValid() {
+		f.mu.Lock()
+		to := f.members.pick(1)
+		f.mu.Unlock()
+		if len(to) == 0 {
+			return discovery.Part{}, fmt.Errorf("%s: %w", kind, ErrNoDaemon)
+		}
+		from = to[0]
 	}
 	ctx, cancel := context.WithTimeout(ctx, recordsTimeout)
 	defer cancel()
-	client := fulmarfieldv1connect.NewRecordServiceClient(f.http, "http://"+netip.AddrPortFrom(to[0], f.port).String())
+	client := fulmarfieldv1connect.NewRecordServiceClient(f.http, "http://"+netip.AddrPortFrom(from, f.port).String())
 	began := time.Now()
-	response, err := client.ListRecords(ctx, connect.NewRequest(&pb.ListRecordsRequest{Kind: string(kind)}))
+	response, err := client.ListRecords(ctx, connect.NewRequest(&pb.ListRecordsRequest{Kind: string(kind), Digests: digests}))
 	if err != nil {
-		return store.Listing{}, time.Time{}, fmt.Errorf("%s of %s: %w: %w", kind, to[0], ErrNoDaemon, err)
+		return discovery.Part{}, fmt.Errorf("%s of %s: %w: %w", kind, from, ErrNoDaemon, err)
+	}
+	p := discovery.Part{
+		AsOf:        store.Version(response.Msg.GetAsOf()),
+		ConfirmedAt: began.Add(-time.Duration(response.Msg.GetAgeMs()) * time.Millisecond),
+	}
+	for _, b := range response.Msg.GetBuckets() {
+		p.Buckets = append(p.Buckets, int(b))
 	}
-	l := store.Listing{AsOf: store.Version(response.Msg.GetAsOf())}
 	for _, r := range response.Msg.GetRecords() {
-		l.Records = append(l.Records, store.Record{Name: r.GetName(), Version: store.Version(r.GetVersion()), Body: r.GetBody()})
+		p.Records = append(p.Records, store.Record{Name: r.GetName(), Version: store.Version(r.GetVersion()), Body: r.GetBody()})
 	}
-	return l, began.Add(-time.Duration(response.Msg.GetAgeMs()) * time.Millisecond), nil
+	return p, nil
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -27,7 +27,7 @@
 // countingStore has no records and counts lists.
 type countingStore struct{ lists *atomic.Int64 }
 
-func (s countingStore) ListPage(context.Context, store.Kind, string) (store.Page, error) {
+func (s countingStore) ListPage(context.Context, store.Kind, string, store.Consistency) (store.Page, error) {
 	s.lists.Add(1)
 	return store.Page{AsOf: 5}, nil
 }
@@ -78,7 +78,7 @@
 // Guards against calls of the store that grow with the fleet, and against daemons whose copies
 // nobody confirms.
 func TestListsDoNotGrowWithTheFleet(t *testing.T) {
-	for _, daemons := range []int{9, 90} {
+	for _, daemons := range []int{9, 90, 300} {
 		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -12,8 +12,11 @@
 	// daemons of a large fleet send to a given one.
 	memberTimeout = 10 * time.Second
 	// maxMembers bounds the daemons that one knows. Claims reach a fleet of any size through
-	// those, since each daemon knows others.
+	// those, since each daemon knows others, and newcomers take the places of known ones.
 	maxMembers = 64
+	// pickFrom is from how many times the daemons needed some are picked, so that two daemons
+	// that pick seldom pick the same.
+	pickFrom = 2
 )
 
 // members are the daemons that one daemon knows. It belongs to one task.
@@ -28,18 +31,21 @@
 	return &members{self: self, heard: map[netip.Addr]time.Time{}, hinted: map[netip.Addr]time.Time{}}
 }
 
-// saw notes that a daemon was heard, and reports whether it is new.
+// saw notes that a daemon was heard, and reports whether it is new and there is room for it. In a
+// full table it takes the place of one at random: if newcomers were turned away, the last daemons
+// of a large fleet would be known to none.
 func (m *members) saw(a netip.Addr, now time.Time) bool {
 	if a == m.self {
 		return false
 	}
 	_, known := m.heard[a]
-	if !known && len(m.heard) >= maxMembers {
-		return false
+	isFull := !known && len(m.heard) >= maxMembers
+	if isFull {
+		delete(m.heard, shuffled(m.heard)[0])
 	}
 	m.heard[a] = now
 	delete(m.hinted, a)
-	return !known
+	return !known && !isFull
 }
 
 // left forgets a daemon that is about to end.
@@ -68,11 +74,13 @@
 	}
 }
 
-// pick returns up to n daemons at random, heard ones first.
+// pick returns up to n daemons at random: ones that were heard, if there are several times as many
+// as needed, or else also named ones, since all of a fleet that starts have heard the seeds only.
 func (m *members) pick(n int) []netip.Addr {
 	picked := shuffled(m.heard)
-	if len(picked) < n {
+	if len(picked) < n*pickFrom {
 		picked = append(picked, shuffled(m.hinted)...)
+		rand.Shuffle(len(picked), func(i, j int) { picked[i], picked[j] = picked[j], picked[i] })
 	}
 	return picked[:min(n, len(picked))]
 }
--- /dev/null
+++ b/fleet/records_test.go
@@ -0,0 +1,221 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/fulmarfield/fulmarfield/catalog"
+	"github.com/fulmarfield/fulmarfield/discovery"
+	"github.com/fulmarfield/fulmarfield/internal/wait"
+	"github.com/fulmarfield/fulmarfield/platform"
+	"github.com/fulmarfield/fulmarfield/store"
+	"github.com/fulmarfield/fulmarfield/telemetry"
+	"github.com/fulmarfield/fulmarfield/wire/memnet"
+)
+
+const (
+	// pageRecords is the size of a page of the changing store.
+	pageRecords = 50
+	callTime    = 4 * time.Millisecond
+)
+
+// changingStore has upstreams that are written while watches lag, and a rate of pages that must be
+// the newest.
+type changingStore struct {
+	mu      sync.Mutex
+	version store.Version
+	records []store.Record
+	log     []store.Change
+	// pages counts pages that had to be the newest, lagging the others.
+	pages, lagging int
+	// rate is the number of such pages that are served a second; 0 is no limit.
+	rate        int
+	second      int64
+	thisSecond  int
+	refused     int
+	maxWatchLag time.Duration
+}
+
+func newChangingStore(upstreams int) *changingStore {
+	s := &changingStore{version: 1}
+	for i := range upstreams {
+		s.records = append(s.records, store.Record{Name: fmt.Sprintf("i-%05d", i), Version: 1})
+	}
+	return s
+}
+
+// write changes one record.
+func (s *changingStore) write(i int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.records[i].Version = s.version
+	s.log = append(s.log, store.Change{Record: s.records[i]})
+}
+
+func (s *changingStore) ListPage(ctx context.Context, kind store.Kind, after string, c store.Consistency) (store.Page, error) {
+	if err := wait.For(ctx, callTime); err != nil {
+		return store.Page{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c == store.Lagging {
+		s.lagging++
+	} else if !s.takeRate() {
+		s.refused++
+		return store.Page{}, store.ErrRateLimited
+	} else {
+		s.pages++
+	}
+	p := store.Page{AsOf: s.version}
+	if kind != platform.KindUpstreams {
+		return p, nil
+	}
+	for _, r := range s.records {
+		if r.Name <= after {
+			continue
+		}
+		if len(p.Records) == pageRecords {
+			p.Next = p.Records[pageRecords-1].Name
+			break
+		}
+		p.Records = append(p.Records, r)
+	}
+	return p, nil
+}
+
+func (s *changingStore) takeRate() bool {
+	if now := time.Now().Unix(); now != s.second {
+		s.second, s.thisSecond = now, 0
+	}
+	s.thisSecond++
+	return s.rate == 0 || s.thisSecond <= s.rate
+}
+
+func (s *changingStore) WatchKind(ctx context.Context, kind store.Kind, after store.Version, most time.Duration) (store.Changes, error) {
+	end := time.Now().Add(most)
+	for ctx.Err() == nil && time.Now().Before(end) {
+		if err := wait.For(ctx, rand.N(s.maxWatchLag)+time.Millisecond); err != nil {
+			return store.Changes{}, err
+		}
+		s.mu.Lock()
+		c := store.Changes{AsOf: s.version}
+		for _, change := range s.log {
+			if change.Record.Version > after && kind == platform.KindUpstreams {
+				c.Changes = append(c.Changes, change)
+			}
+		}
+		s.mu.Unlock()
+		if len(c.Changes) > 0 {
+			return c, nil
+		}
+	}
+	return store.Changes{AsOf: after}, ctx.Err()
+}
+
+// handlers reaches the records of daemons by address, without sockets.
+type handlers map[string]http.Handler
+
+func (h handlers) RoundTrip(r *http.Request) (*http.Response, error) {
+	if err := wait.For(r.Context(), 2*time.Millisecond); err != nil {
+		return nil, err
+	}
+	recorder := httptest.NewRecorder()
+	h[strings.Split(r.URL.Host, ":")[0]].ServeHTTP(recorder, r)
+	return recorder.Result(), nil
+}
+
+// startFleet runs daemons over a store until the test ends.
+func startFleet(t *testing.T, daemons int, s *changingStore) ([]*discovery.Follower, []*catalog.Catalog) {
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	network := memnet.New(func(_, _ netip.AddrPort, _ []byte) []time.Duration {
+		return []time.Duration{time.Millisecond}
+	})
+	transport := handlers{}
+	var followers []*discovery.Follower
+	var catalogs []*catalog.Catalog
+	for i := range daemons {
+		conn, err := network.Listen(netip.AddrPortFrom(address(i), port))
+		if err != nil {
+			t.Fatal(err)
+		}
+		upstreams := catalog.New(time.Now)
+		catalogs = append(catalogs, upstreams)
+		follower := discovery.NewFollower(discovery.Options{
+			Store: s, Catalog: upstreams, Counters: telemetry.NewCounters(), Logger: zerolog.Nop(), Bound: bound,
+		})
+		f := New(Options{
+			Conn: conn, Zone: "zone", Follower: follower, Counters: telemetry.NewCounters(), Logger: zerolog.Nop(),
+			Seeds:     func() []netip.Addr { return []netip.Addr{address(0), address(1), address(2)} },
+			Transport: transport,
+		})
+		follower.Join(f, f.Tell)
+		_, transport[address(i).String()] = NewHandler(follower)
+		followers = append(followers, follower)
+		go func() { _ = follower.Run(ctx) }()
+		go func() { _ = f.Run(ctx) }()
+		go func() {
+			<-ctx.Done()
+			_ = conn.Close()
+		}()
+	}
+	return followers, catalogs
+}
+
+// Guards against a fleet in which each daemon lists the store because no two have the same records
+// while upstreams come and go: with 90 daemons four fifths of all calls on a day with trouble.
+func TestDaemonsThatDifferReadFromOneAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newChangingStore(150)
+		s.maxWatchLag = 2 * time.Second
+		followers, _ := startFleet(t, 90, s)
+		time.Sleep(10 * time.Second)
+		before := s.pages
+		const seconds = 30
+		for i := range seconds * 10 {
+			s.write(i % 150)
+			time.Sleep(100 * time.Millisecond)
+			for _, f := range followers {
+				g.Expect(time.Since(f.UpstreamsConfirmedAt())).To(BeNumerically("<", bound))
+			}
+		}
+		// A fleet that reads once in each 0.4 of the bound needs 5 pages each time, of both kinds.
+		// Three daemons may read before they hear of the first.
+		g.Expect(s.pages - before).To(BeNumerically("<", 3*5*seconds*1000/1200))
+	})
+}
+
+// Guards against a start of all daemons that overruns the store: 301 daemons with 3,000 upstreams took
+// 30 s, since each listed 60 pages, at most 6,000 a second were served, and refused lists began anew.
+func TestFleetStartsWithinTheRateOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newChangingStore(3000)
+		s.rate, s.maxWatchLag = 6000, time.Second
+		followers, catalogs := startFleet(t, 300, s)
+		time.Sleep(time.Second)
+		for _, c := range catalogs {
+			g.Expect(c.Current().UpstreamsKnown).To(BeTrue())
+		}
+		time.Sleep(2 * time.Second)
+		for _, f := range followers {
+			g.Expect(time.Since(f.UpstreamsConfirmedAt())).To(BeNumerically("<", bound))
+		}
+		g.Expect(s.refused).To(BeZero())
+		g.Expect(s.pages).To(BeNumerically("<", 6000))
+	})
+}
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -23,12 +23,15 @@
 
 // ListRecords implements the service; it fails with UNAVAILABLE while the kind is not known.
 func (s recordService) ListRecords(_ context.Context, r *connect.Request[pb.ListRecordsRequest]) (*connect.Response[pb.ListRecordsResponse], error) {
-	l, confirmedAt, err := s.follower.Records(store.Kind(r.Msg.GetKind()))
+	p, err := s.follower.Records(store.Kind(r.Msg.GetKind()), r.Msg.GetDigests())
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
-	response := &pb.ListRecordsResponse{AsOf: uint64(l.AsOf), AgeMs: milliseconds(time.Since(confirmedAt))}
-	for _, record := range l.Records {
+	response := &pb.ListRecordsResponse{AsOf: uint64(p.AsOf), AgeMs: milliseconds(time.Since(p.ConfirmedAt))}
+	for _, b := range p.Buckets {
+		response.Buckets = append(response.Buckets, uint32(b))
+	}
+	for _, record := range p.Records {
 		response.Records = append(response.Records, &pb.StoredRecord{
 			Name: record.Name, Version: uint64(record.Version), Body: record.Body,
 		})
--- a/store/collection.go
+++ b/store/collection.go
@@ -25,8 +25,21 @@
 type Listing struct {
 	Records []Record
 	AsOf    Version
+	// MayLag is set when a part of it was read with Lagging.
+	MayLag bool
 }
 
+// Consistency is how new the answer to a read must be.
+type Consistency int
+
+const (
+	// Newest is an answer with every change that was acknowledged before the call.
+	Newest Consistency = iota
+	// Lagging is an answer that may be seconds old. It is cheap and does not count toward the
+	// rate of calls.
+	Lagging
+)
+
 // Page is a part of a listing, in the order of names.
 type Page struct {
 	Records []Record
@@ -51,8 +64,9 @@
 // Collections is a store that keeps records by kind. All methods may be called concurrently;
 // they return errors that wrap the errors of this package, or the context's.
 type Collections interface {
-	// ListPage returns the records of a kind whose names come after a name, as many as fit.
-	ListPage(ctx context.Context, kind Kind, after string) (Page, error)
+	// ListPage returns the records of a kind whose names come after a name, as many as fit. It
+	// returns ErrRateLimited when too many calls are made.
+	ListPage(ctx context.Context, kind Kind, after string, consistency Consistency) (Page, error)
 	// WatchKind waits at most wait for changes after a version. It returns ErrExpired when
 	// the version is too old. No changes are not proof that there were none.
 	WatchKind(ctx context.Context, kind Kind, after Version, wait time.Duration) (Changes, error)
