--- a/daemon/page_test.go
+++ b/daemon/page_test.go
@@ -77,7 +77,7 @@
 		code := sources(g, isInBand)
 		events := names(code, `Str\("event", *"([a-z_]+)"`, `\bevent\w* +:?= "([a-z_]+)"`, `\bevent = "([a-z_]+)"`)
 		g.Expect(names(section(g, string(data), "Log events"+suffix), "(?m)^\\| `([a-z_]+)\\*?` \\|")).To(Equal(events))
-		families := names(code, `(?:Count|Add)\("([a-z_]+)\.`, `"(retry|refusal|drop|config|forward)\.[a-z_]*"`)
+		families := names(code, `(?:Count|Add|Observe|Distribution)\("([a-z_]+)\.`, `"(retry|refusal|drop|config|forward)\.[a-z_]*"`)
 		g.Expect(names(section(g, string(data), "Counters"+suffix), "(?m)^\\| `([a-z_]+)\\.\\*` \\|")).To(Equal(families))
 	}
 }
--- a/edge/admin.go
+++ b/edge/admin.go
@@ -39,12 +39,13 @@
 	}
 }
 
-// adminHandler serves counters and the age of the state as text, one NAME VALUE a line.
+// adminHandler serves counters, distributions and the age of the state as text, one NAME VALUE a line.
 func (d *Daemon) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(fleet.NewHandler(d.follower))
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		values := d.counters.Snapshot()
+		maps.Copy(values, d.counters.Distributions())
 		snapshot := d.catalog.Current()
 		values["upstreams"] = int64(snapshot.Upstreams())
 		for _, kind := range discovery.Kinds() {
--- a/edge/app.go
+++ b/edge/app.go
@@ -96,7 +96,7 @@
 	zerolog.SetGlobalLevel(settings.level())
 	logger := setting.Logger(output, settings.Name, zerolog.TraceLevel)
 	var d *Daemon
-	app := fx.New(Module(settings, logger), fx.Populate(&d), fx.NopLogger)
+	app := fx.New(Module(settings, output, logger), fx.Populate(&d), fx.NopLogger)
 	if err := app.Start(context.Background()); err != nil {
 		logger.Error().Str("event", eventStopped).Err(err).Send()
 		return exitFailed
@@ -108,10 +108,10 @@
 	return status
 }
 
-// Module wires a daemon for fx.
-func Module(settings *Settings, logger zerolog.Logger) fx.Option {
+// Module wires a daemon for fx. The logger writes to output.
+func Module(settings *Settings, output *asyncWriter, logger zerolog.Logger) fx.Option {
 	return fx.Options(
-		fx.Supply(settings, logger),
+		fx.Supply(settings, output, logger),
 		fx.Provide(
 			telemetry.NewCounters,
 			func() *catalog.Catalog { return catalog.New(time.Now) },
@@ -129,7 +129,7 @@
 	)
 }
 
-func newDaemon(s *Settings, c *catalog.Catalog, f *discovery.Follower, n *telemetry.Counters, logger zerolog.Logger) (*Daemon, error) {
+func newDaemon(s *Settings, c *catalog.Catalog, f *discovery.Follower, n *telemetry.Counters, output *asyncWriter, logger zerolog.Logger) (*Daemon, error) {
 	conn, err := wire.ListenUDP(netip.MustParseAddrPort(s.PacketAddress))
 	if err != nil {
 		return nil, fmt.Errorf("packet-address: %w", err)
@@ -149,7 +149,7 @@
 	})
 	f.Join(d.fleet, d.fleet.Tell)
 	d.loop = &packetLoop{
-		conn: conn, catalog: c, counters: n, verdicts: newVerdictCounters(n), logger: logger, lastPacket: &d.lastPacket,
+		conn: conn, catalog: c, counters: n, verdicts: newVerdictCounters(n), latency: newLatencies(n), output: output, logger: logger, lastPacket: &d.lastPacket,
 		budget:      lineBudget{perSecond: s.LogLines},
 		confirmedAt: f.UpstreamsConfirmedAt,
 		steerer: inband.NewSteerer(inband.Options{
--- a/edge/daemon_test.go
+++ b/edge/daemon_test.go
@@ -40,7 +40,7 @@
 		t.Fatal(err)
 	}
 	var d *Daemon
-	app := fx.New(Module(settings, zerolog.Nop()), fx.Populate(&d), fx.NopLogger)
+	app := fx.New(Module(settings, newAsyncWriter(io.Discard), zerolog.Nop()), fx.Populate(&d), fx.NopLogger)
 	if err := app.Start(context.Background()); err != nil {
 		t.Fatal(err)
 	}
@@ -114,12 +114,23 @@
 		g.Expect(echo.RunBy(answer, request)).To(Equal(u.ID))
 	}
 	g.Eventually(func() int { return first.fleet.Daemons() + second.fleet.Daemons() }, patience).Should(Equal(2))
+	steady, err := echo.StartCaller(netip.MustParseAddrPort("127.51.1.2:7701"), func() netip.AddrPort {
+		return netip.MustParseAddrPort("127.51.0.1:7701")
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(steady.Stop)
+	whole, err := steady.Open(feed)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = whole.Request("all of it through one daemon", patience)
+	g.Expect(err).NotTo(HaveOccurred())
 	r, err := http.Get("http://127.51.0.1:7703/metrics")
 	g.Expect(err).NotTo(HaveOccurred())
 	text, err := io.ReadAll(r.Body)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(r.Body.Close()).To(Succeed())
-	g.Expect(string(text)).To(And(ContainSubstring("generation 3\n"), ContainSubstring("forward_open ")))
+	g.Expect(string(text)).To(And(ContainSubstring("generation 3\n"), ContainSubstring("forward_open "),
+		ContainSubstring("latency_open_to_acknowledged_us_p99 "), ContainSubstring("latency_age_of_upstreams_us_p50 "),
+		ContainSubstring("latency_store_call_us_max ")))
 
 	signals := make(chan os.Signal, 1)
 	signals <- syscall.SIGTERM
--- a/edge/logging.go
+++ b/edge/logging.go
@@ -20,6 +20,7 @@
 	eventReloadRefused   = "settings_refused"
 	eventRestartNeeded   = "settings_need_restart"
 	eventLinesLeftOut    = "log_lines_left_out"
+	eventLinesLost       = "log_lines_lost"
 	eventFlow            = "flow"
 	eventUpstreamBelief  = "upstream_belief"
 	eventFlowEnded       = "flow_ended"
@@ -76,6 +77,14 @@
 	return len(line), nil
 }
 
+// takeLost returns how many lines were left out since the last call because the reader was slow.
+func (a *asyncWriter) takeLost() int64 {
+	if a.lost.Load() == 0 {
+		return 0
+	}
+	return a.lost.Swap(0)
+}
+
 // flush writes what is queued for at most the given time. Lines that tasks which have not ended
 // yet write afterwards are lost.
 func (a *asyncWriter) flush(within time.Duration) {
--- a/edge/logging_test.go
+++ b/edge/logging_test.go
@@ -8,6 +8,9 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/fulmarfield/fulmarfield/telemetry"
 )
 
 // Guards against packets that wait for the reader of the log: one that has stopped reading costs
@@ -32,6 +35,21 @@
 	})
 }
 
+// Guards against lines that a slow reader cost and nobody hears of.
+func TestLostLinesAreTold(t *testing.T) {
+	g := NewWithT(t)
+	var out strings.Builder
+	l := &packetLoop{
+		budget: lineBudget{perSecond: 1}, output: &asyncWriter{}, counters: telemetry.NewCounters(), logger: zerolog.New(&out),
+	}
+	l.output.lost.Store(7)
+	now := time.Unix(1_700_000_000, 0)
+	g.Expect(l.takeLine(now)).To(BeTrue())
+	g.Expect(l.takeLine(now.Add(time.Second))).To(BeTrue())
+	g.Expect(strings.Count(out.String(), eventLinesLost)).To(Equal(1))
+	g.Expect(l.counters.Get("log.reader_slow")).To(Equal(int64(7)))
+}
+
 // Guards against a process that crashes at its end because a task still logs, and against last lines
 // that are not written.
 func TestLinesAfterFlush(t *testing.T) {
--- a/edge/packets.go
+++ b/edge/packets.go
@@ -34,8 +34,10 @@
 	catalog  *catalog.Catalog
 	counters *telemetry.Counters
 	verdicts verdictCounters
+	latency  latencies
 	logger   zerolog.Logger
 	budget   lineBudget
+	output   *asyncWriter
 	// confirmedAt returns when the upstreams were last known to be the newest.
 	confirmedAt func() time.Time
 	// out is reused for each datagram to an upstream.
@@ -59,6 +61,34 @@
 
 func (c *verdictCounters) count(v inband.Verdict) { c[v.Action][v.Reason].Inc(1) }
 
+// latencies are distributions in microseconds.
+type latencies struct {
+	// opened is the time from an opening packet to the caller's first acknowledgement.
+	opened metrics.Histogram
+	// stateAge is the age of the upstreams when a flow is placed.
+	stateAge metrics.Histogram
+}
+
+func newLatencies(counters *telemetry.Counters) latencies {
+	return latencies{
+		opened:   counters.Distribution("latency.open_to_acknowledged_us"),
+		stateAge: counters.Distribution("latency.age_of_upstreams_us"),
+	}
+}
+
+// observe notes what a decision shows.
+func (l *packetLoop) observe(p platform.Packet, v inband.Verdict, now time.Time) {
+	if v.OpenedAfter > 0 {
+		l.latency.opened.Update(v.OpenedAfter.Microseconds())
+	}
+	if !p.Opens || v.Upstream == nil {
+		return
+	}
+	if confirmedAt := l.confirmedAt(); !confirmedAt.IsZero() {
+		l.latency.stateAge.Update(now.Sub(confirmedAt).Microseconds())
+	}
+}
+
 // run handles packets until the connection is closed.
 func (l *packetLoop) run(ctx context.Context) error {
 	began := time.Now()
@@ -93,6 +123,7 @@
 	}
 	v := l.steerer.Decide(p, now)
 	l.verdicts.count(v)
+	l.observe(p, v, now)
 	l.log(p, v, now)
 	switch v.Action {
 	case inband.ActionForward:
@@ -149,6 +180,10 @@
 	if !l.budget.take(now) {
 		return false
 	}
+	if lost := l.output.takeLost(); lost > 0 {
+		l.counters.Add("log.reader_slow", lost)
+		l.logger.Warn().Str("event", eventLinesLost).Int64("lines", lost).Send()
+	}
 	if left := l.budget.leftOut; left > 0 {
 		l.budget.leftOut = 0
 		l.counters.Add("log.left_out", left)
--- a/inband/flow.go
+++ b/inband/flow.go
@@ -34,6 +34,15 @@
 	return f.isOpen && f.copies == 0 && now.Sub(f.lastSeen) > idleAfter
 }
 
+// openedAfter returns the time since the opening packet if the flow opens with the packet that came
+// now, zero if it was open before or its opening packet was not seen.
+func (f *flow) openedAfter(now time.Time) time.Duration {
+	if f.isOpen || f.lastSeen.IsZero() {
+		return 0
+	}
+	return now.Sub(f.lastSeen)
+}
+
 // event is what a packet shows of its flow's upstream.
 type event uint8
 
--- a/inband/steerer.go
+++ b/inband/steerer.go
@@ -186,6 +186,7 @@
 		f = &flow{upstream: u}
 		s.remember(p.Flow, f)
 	}
+	openedAfter := f.openedAfter(now)
 	isDead := s.learn(f, p, now)
 	// Only requests that may be repeated are better off with a reset: their callers try again on
 	// a new flow.
@@ -196,10 +197,12 @@
 	if p.Finishes || p.Resets {
 		s.forget(p.Flow)
 	}
+	v := forward(u, ReasonOpen)
 	if fate == catalog.FateMissing {
-		return forward(u, ReasonMissingUpstream)
+		v.Reason = ReasonMissingUpstream
 	}
-	return forward(u, ReasonOpen)
+	v.OpenedAfter = openedAfter
+	return v
 }
 
 // learn takes a packet of an open flow into account. It reports whether the packet has data that
--- a/inband/steerer_test.go
+++ b/inband/steerer_test.go
@@ -97,6 +97,20 @@
 	return p
 }
 
+// Guards against a latency that counts every packet, or flows that another daemon opened.
+func TestTimeToOpenIsToldOnce(t *testing.T) {
+	w := newWorld(t, upstream("a", "bindery", "schuur"))
+	key := w.key(bindery)
+	w.Expect(w.decide(platform.Packet{Flow: key, Opens: true}).OpenedAfter).To(BeZero())
+	w.wait(8 * time.Millisecond)
+	p := platform.Packet{Flow: key, Token: w.token("a", bindery), Sequence: 1, Acknowledged: 100, Acknowledges: true}
+	w.Expect(w.decide(p).OpenedAfter).To(Equal(8 * time.Millisecond))
+	w.wait(8 * time.Millisecond)
+	w.Expect(w.decide(withData(p)).OpenedAfter).To(BeZero())
+	w.restart()
+	w.Expect(w.decide(withData(p)).OpenedAfter).To(BeZero())
+}
+
 // Guards against flows that need the daemon that opened them: any other one, and one that has
 // just started, finds their upstream from the packet.
 func TestAnyDaemonSteersOpenFlow(t *testing.T) {
--- a/inband/verdict.go
+++ b/inband/verdict.go
@@ -1,6 +1,8 @@
 package inband
 
 import (
+	"time"
+
 	"github.com/fulmarfield/fulmarfield/catalog"
 	"github.com/fulmarfield/fulmarfield/platform"
 )
@@ -59,6 +61,9 @@
 	// Upstream is where the packet goes or, when the flow has ended, what it was on; nil if
 	// that is not known.
 	Upstream *catalog.Upstream
+	// OpenedAfter is the time from the last copy of the opening packet to the caller's first
+	// acknowledgement, for the packet that has it; zero for others.
+	OpenedAfter time.Duration
 	// IsRepeated marks a decision that was reported before.
 	IsRepeated bool
 }
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -1,9 +1,10 @@
-// Package telemetry counts refusals, retries and drops by reason. It owns the metrics
+// Package telemetry counts refusals, retries and drops by reason, and keeps distributions of latencies. It owns the metrics
 // registry of a process and calls no other package of the project but the generated code.
 package telemetry
 
 import (
 	"strings"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -78,6 +79,43 @@
 	return values
 }
 
+// sampleSize bounds the values that a distribution keeps, 8 KB; the p99 of 1,028 is the 10th largest.
+const sampleSize = 1028
+
+// sampleAlpha weighs recent values: most of those kept are of the last five minutes.
+const sampleAlpha = 0.015
+
+// Observe adds a duration to the named distribution, in microseconds.
+func (c *Counters) Observe(name string, d time.Duration) {
+	c.Distribution(name).Update(d.Microseconds())
+}
+
+// Distribution returns the distribution with a name, for callers that add to it often.
+func (c *Counters) Distribution(name string) metrics.Histogram {
+	m := c.registry.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	})
+	return m.(metrics.Histogram) //nolint:forcetypeassert // A name is used for one kind of metric.
+}
+
+// Distributions returns, for each distribution that has values, their number, p50, p90, p99 and maximum
+// as NAME.count, NAME.p50 and so on.
+func (c *Counters) Distributions() map[string]int64 {
+	values := map[string]int64{}
+	c.registry.Each(func(name string, m any) {
+		h, ok := m.(metrics.Histogram)
+		if !ok || h.Count() == 0 {
+			return
+		}
+		h = h.Snapshot()
+		values[name+".count"], values[name+".max"] = h.Count(), h.Max()
+		for suffix, share := range map[string]float64{".p50": 0.5, ".p90": 0.9, ".p99": 0.99} {
+			values[name+suffix] = int64(h.Percentile(share))
+		}
+	})
+	return values
+}
+
 // Registry returns the metrics registry of the process.
 func (c *Counters) Registry() metrics.Registry { return c.registry }
 
