Deflate large records once for all daemons that ask

Cause: a configuration of 1,576 routes is 250 KB. Each body above 4 KB is now deflated once a version.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -294,7 +294,11 @@
 		p.Buckets = append(p.Buckets, int(b))
 	}
 	for _, r := range response.Msg.GetRecords() {
-		p.Records = append(p.Records, store.Record{Name: r.GetName(), Version: store.Version(r.GetVersion()), Body: r.GetBody()})
+		record, err := decode(r)
+		if err != nil {
+			return discovery.Part{}, fmt.Errorf("%s of %s: %w: %w", kind, from, ErrNoDaemon, err)
+		}
+		p.Records = append(p.Records, record)
 	}
 	return p, nil
 }
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -14,11 +14,14 @@
 )
 
 // recordService serves the copies of this daemon to others.
-type recordService struct{ follower *discovery.Follower }
+type recordService struct {
+	follower *discovery.Follower
+	bodies   *bodies
+}
 
 // NewHandler returns the path and handler of the records that other daemons may ask for.
 func NewHandler(f *discovery.Follower) (string, http.Handler) {
-	return fulmarfieldv1connect.NewRecordServiceHandler(recordService{f})
+	return fulmarfieldv1connect.NewRecordServiceHandler(recordService{f, newBodies()})
 }
 
 // ListRecords implements the service; it fails with UNAVAILABLE while the kind is not known.
@@ -32,9 +35,11 @@
 		response.Buckets = append(response.Buckets, uint32(b))
 	}
 	for _, record := range p.Records {
-		response.Records = append(response.Records, &pb.StoredRecord{
-			Name: record.Name, Version: uint64(record.Version), Body: record.Body,
-		})
+		encoded, err := s.bodies.encode(record)
+		if err != nil {
+			return nil, connect.NewError(connect.CodeInternal, err)
+		}
+		response.Records = append(response.Records, encoded)
 	}
 	return connect.NewResponse(response), nil
 }
