--- a/standin/metastore/metastore.go
+++ b/standin/metastore/metastore.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"sort"
@@ -43,8 +44,9 @@
 	history  []event
 	// firstKept is the first revision whose event is still in the history.
 	firstKept uint64
-	// hidden makes watches show nothing.
-	hidden bool
+	// hidden makes watches show nothing. lagging is what reads that may lag show meanwhile.
+	hidden  bool
+	lagging map[string]map[string]object
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 	lists   int
@@ -102,18 +104,24 @@
 	s.changed = make(chan struct{})
 }
 
-// Hide makes watches show nothing of what changes from now on.
+// Hide makes watches, and lists that may lag, show nothing of what changes from now on.
 func (s *Store) Hide() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.hidden = true
+	if s.hidden {
+		return
+	}
+	s.hidden, s.lagging = true, map[string]map[string]object{}
+	for kind, objects := range s.objects {
+		s.lagging[kind] = maps.Clone(objects)
+	}
 }
 
 // Compact drops the history and ends what Hide began.
 func (s *Store) Compact() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.hidden, s.history, s.firstKept = false, nil, s.revision+1
+	s.hidden, s.lagging, s.history, s.firstKept = false, nil, nil, s.revision+1
 	s.wakeLocked()
 }
 
@@ -130,7 +138,7 @@
 	mux.HandleFunc("GET /api/objects/{kind}", func(w http.ResponseWriter, r *http.Request) {
 		kind, query := r.PathValue("kind"), r.URL.Query()
 		if !query.Has("watch") {
-			reply(w, s.list(kind, query.Get("after")))
+			reply(w, s.list(kind, query.Get("after"), query.Get("stale_ok") == "1"))
 			return
 		}
 		after, err := strconv.ParseUint(query.Get("watch"), 10, 64)
@@ -156,12 +164,16 @@
 	_ = json.NewEncoder(w).Encode(answer)
 }
 
-func (s *Store) list(kind, after string) any {
+func (s *Store) list(kind, after string, mayLag bool) any {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lists++
+	objects := s.objects[kind]
+	if mayLag && s.hidden {
+		objects = s.lagging[kind]
+	}
 	items := []object{}
-	for _, o := range s.objects[kind] {
+	for _, o := range objects {
 		if o.Meta.Name > after {
 			items = append(items, o)
 		}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -40,6 +40,7 @@
 	cause string
 }{
 	{1, "no failure; the run that CI always makes"},
+	{3, "no failure; a run that kills all daemons at once"},
 	{157, "a daemon that stood still read data and its retransmissions at once and took the upstream for dead"},
 }
 
@@ -97,6 +98,9 @@
 				tasks.Go(func() { r.call(i) })
 			}
 			var faults sync.WaitGroup
+			if seed%killAllEach == 0 {
+				r.killAll(&faults, seed)
+			}
 			for end := time.Now().Add(*length); time.Now().Before(end); {
 				time.Sleep(time.Duration(r.random.Float64() * 2 * float64(faultGap)))
 				r.inject(&faults)
@@ -234,6 +238,22 @@
 	}
 }
 
+// killAllEach is every which seed has a kill of all daemons beside its other faults, so that the
+// faults of the seeds between, some of which failed once, stay what they were.
+const killAllEach = 3
+
+// killAll kills all daemons at once, at a time within the run.
+func (r *run) killAll(tasks *sync.WaitGroup, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 2))
+	at, down := time.Duration(random.Int64N(int64(*length))), time.Duration(random.Int64N(int64(time.Second)))
+	tasks.Go(func() {
+		time.Sleep(at)
+		for _, d := range r.daemons {
+			r.restart(tasks, d, syscall.SIGKILL, down)
+		}
+	})
+}
+
 func (r *run) restart(tasks *sync.WaitGroup, d *daemon, s syscall.Signal, down time.Duration) {
 	d.mu.Lock()
 	isFree := d.isUp && !d.isLeaving && time.Since(d.faultAt) > time.Second
