Reset a flow with an unknown token only by a list that surely began later

Cause, by reading: since daemons' claims count as proof, a claim that waited in the socket of a small VM could date a list up to that wait later than it was, after the packet whose token it does not show. A daemon's own list still counts exactly; a claim must be 300 ms later. TestClaimIsNoProofOfTheLastMoment states it.

--- a/discovery/belief.go
+++ b/discovery/belief.go
@@ -15,7 +15,8 @@
 	confirmShare = 0.4
 	spreadShare  = 0.2
 	// newsStep is by how much a claim must make a copy younger to be worth a call or to be passed
-	// on. Claims of one list differ by the time that datagrams take over some daemons.
+	// on. Claims of one list differ by the time that datagrams take over some daemons, and wait on
+	// small VMs.
 	newsStep = 300 * time.Millisecond
 	// daemonsPerStep flattens the spread of many daemons, so that the first one that reads
 	// has told the others before the next one begins.
@@ -51,6 +52,8 @@
 	// confirmedAt is the latest time at which the copy is known to have been the newest; the zero
 	// time while nothing proves it.
 	confirmedAt time.Time
+	// listedAt is the begin of the last complete list that this daemon made itself.
+	listedAt time.Time
 	// unprovenSince is when a copy was first held that nothing proves.
 	unprovenSince time.Time
 	// better is the latest claim of a daemon with other records that were confirmed later; its
@@ -66,6 +69,12 @@
 	b.forgetOldClaim()
 }
 
+// wasCompleteAfter reports whether the copy was known to be the newest at some time after t. A claim
+// comes to be dated later on its way, so it must be well after.
+func (b *belief) wasCompleteAfter(t time.Time) bool {
+	return b.listedAt.After(t) || b.confirmedAt.Sub(t) >= newsStep
+}
+
 // tookClaim judges what another daemon says. Equal records that were the newest then confirm the
 // copy. Others that were confirmed later are to be had from that daemon, even if the copy is ahead in
 // some of them: they confirm the rest.
--- a/discovery/belief_test.go
+++ b/discovery/belief_test.go
@@ -126,6 +126,19 @@
 	g.Expect(due(b, 0)).To(Equal(at(2100)), "the other one is behind")
 }
 
+// Guards against a reset of a flow whose upstream was registered just before: a claim that waited on
+// its way makes a list look later than it was.
+func TestClaimIsNoProofOfTheLastMoment(t *testing.T) {
+	g := NewWithT(t)
+	m, b := newMirror(), &belief{}
+	b.tookClaim(Claim{Digest: m.digest(), ConfirmedAt: at(1000)}, m)
+	g.Expect(b.wasCompleteAfter(at(900))).To(BeFalse())
+	g.Expect(b.wasCompleteAfter(at(700))).To(BeTrue())
+	b.listedAt = at(950)
+	g.Expect(b.wasCompleteAfter(at(900))).To(BeTrue(), "its own list")
+	g.Expect(b.wasCompleteAfter(at(950))).To(BeFalse())
+}
+
 // Guards against a daemon that never proves what it began with, when no other daemon answers.
 func TestUnprovenCopyIsReadSoon(t *testing.T) {
 	g := NewWithT(t)
--- a/discovery/claims.go
+++ b/discovery/claims.go
@@ -93,7 +93,7 @@
 		return false
 	}
 	listed := k.belief.confirmedAt
-	if listed.After(t) && listed.Sub(answersSince) >= catalog.LapseGrace {
+	if k.belief.wasCompleteAfter(t) && listed.Sub(answersSince) >= catalog.LapseGrace {
 		return true
 	}
 	if min(time.Since(listed), time.Since(answersSince)-catalog.LapseGrace) >= minListInterval {
--- a/discovery/confirm.go
+++ b/discovery/confirm.go
@@ -200,6 +200,9 @@
 	k := f.kinds[kind]
 	isFirst := !k.isKnown()
 	k.belief.tookList(p.ConfirmedAt)
+	if fromStore {
+		k.belief.listedAt = p.ConfirmedAt
+	}
 	k.spread = spread(rand.Float64(), f.daemons())
 	f.apply(kind, k.mirror.merge(p, time.Now()), isFirst, fromStore)
 	k.mirror.forgetRemoved(p.ConfirmedAt)
