Read the counts of the stand-in under its lock

Cause: a data race in TestDaemonsThatDifferReadFromOneAnother, found by the race detector: the test read counts while followers wrote them.

--- a/fleet/records_test.go
+++ b/fleet/records_test.go
@@ -97,6 +97,14 @@
 	return p, nil
 }
 
+// counts returns the numbers of newest pages and of refused ones so far.
+func (s *changingStore) counts() (pages, refused int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pages, s.refused
+}
+
+// takeRate reports whether one more page is within the rate. s.mu is held.
 func (s *changingStore) takeRate() bool {
 	if now := time.Now().Unix(); now != s.second {
 		s.second, s.thisSecond = now, 0
@@ -185,7 +193,7 @@
 		s.maxWatchLag = 2 * time.Second
 		followers, _ := startFleet(t, 90, s)
 		time.Sleep(10 * time.Second)
-		before := s.pages
+		before, _ := s.counts()
 		const seconds = 30
 		for i := range seconds * 10 {
 			s.write(i % 150)
@@ -196,7 +204,8 @@
 		}
 		// A fleet that reads once in each 0.4 of the bound needs 5 pages each time, of both kinds.
 		// Three daemons may read before they hear of the first.
-		g.Expect(s.pages - before).To(BeNumerically("<", 3*5*seconds*1000/1200))
+		after, _ := s.counts()
+		g.Expect(after - before).To(BeNumerically("<", 3*5*seconds*1000/1200))
 	})
 }
 
@@ -216,7 +225,8 @@
 		for _, f := range followers {
 			g.Expect(time.Since(f.UpstreamsConfirmedAt())).To(BeNumerically("<", bound))
 		}
-		g.Expect(s.refused).To(BeZero())
-		g.Expect(s.pages).To(BeNumerically("<", 6000))
+		pages, refused := s.counts()
+		g.Expect(refused).To(BeZero())
+		g.Expect(pages).To(BeNumerically("<", 6000))
 	})
 }
