--- a/edge/daemon_test.go
+++ b/edge/daemon_test.go
@@ -177,6 +177,23 @@
 	g.Eventually(func() int64 { return d.catalog.Current().Config.Version }, 3*time.Second).Should(Equal(int64(8)))
 }
 
+// Guards against a daemon that keeps what it began with: it starts while the store's answers lag and
+// its seed is down, and takes back nothing that a list that may lag does not show.
+func TestStartWhileTheStoreLags(t *testing.T) {
+	g := NewWithT(t)
+	s := metastore.New()
+	s.Put("config", "main", configuration(5))
+	api := httptest.NewServer(s.Handler())
+	t.Cleanup(api.CloseClientConnections)
+	s.Hide()
+	s.Put("config", "main", configuration(8))
+	d, _ := startDaemon(t, 4, strings.TrimPrefix(api.URL, "http://"))
+	g.Eventually(func() bool { return d.catalog.Current().IsComplete() }, patience).Should(BeTrue())
+	g.Expect(d.catalog.Current().Config.Version).To(Equal(int64(5)), "the list lags")
+	g.Expect(d.follower.ConfigConfirmedAt()).To(BeZero())
+	g.Eventually(func() int64 { return d.catalog.Current().Config.Version }, 3*time.Second).Should(Equal(int64(8)))
+}
+
 // Guards against a bad file that replaces good settings, and against a change without a signal
 // that is never noticed.
 func TestReload(t *testing.T) {
