Place new flows on upstreams whose entries lapsed in an outage of the store

The upstreams were running all the time.

Ruled out: the zone cut at 33.5 s (the resets come from all zones); ejection of slow upstreams (the resets occur without it too: 63 failed in that window on the untouched code).

Change: missing upstreams that accepted new flows when their entries vanished are candidates for new flows while they outnumber the ready ones.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -58,6 +58,8 @@
 	// ready holds the upstreams of each service that accept new flows, and steerable all of its
 	// upstreams, including the deregistered ones.
 	ready, steerable map[string][]*Upstream
+	// lapsed holds the upstreams of each service that accepted new flows when their entries vanished.
+	lapsed map[string][]*Upstream
 }
 
 // IsComplete reports whether a configuration and a list of upstreams have been applied.
@@ -74,6 +76,24 @@
 // Ready returns the upstreams of a service that accept new flows, in the order of their IDs.
 func (s *Snapshot) Ready(service string) []*Upstream { return s.ready[service] }
 
+// Placeable returns the upstreams of a service on which new flows may be placed. These are the ready ones,
+// and also the missing ones while they outnumber the ready ones: the entries of most upstreams vanish
+// together only if they expired while the store was unreachable, and then the upstreams still run.
+// validatedAt is when this snapshot was last validated against the store.
+func (s *Snapshot) Placeable(service string, validatedAt time.Time) []*Upstream {
+	ready := s.ready[service]
+	var missing []*Upstream
+	for _, u := range s.lapsed[service] {
+		if s.RegistrationStatus(u.Key, validatedAt) == StatusMissing {
+			missing = append(missing, u)
+		}
+	}
+	if len(missing) <= len(ready) {
+		return ready
+	}
+	return slices.Concat(ready, missing)
+}
+
 // Steerable returns the upstreams of a service to which packets of open flows may be steered. They
 // include the upstreams that were deregistered within deregisteredRetention.
 func (s *Snapshot) Steerable(service string) []*Upstream { return s.steerable[service] }
@@ -235,7 +255,7 @@
 		Config: c.config, UpstreamsListed: c.upstreamsListed,
 		registered:   make(map[uint64]*Upstream, len(c.upstreams)),
 		deregistered: make(map[uint64]deregistered, len(c.deregistered)),
-		ready:        map[string][]*Upstream{}, steerable: map[string][]*Upstream{},
+		ready:        map[string][]*Upstream{}, steerable: map[string][]*Upstream{}, lapsed: map[string][]*Upstream{},
 	}
 	for _, u := range c.upstreams {
 		s.registered[u.Key] = u
@@ -254,6 +274,9 @@
 		}
 		s.deregistered[key] = d
 		s.steerable[d.upstream.Service] = append(s.steerable[d.upstream.Service], d.upstream)
+		if d.upstream.State == StateReady && !d.isReplaced {
+			s.lapsed[d.upstream.Service] = append(s.lapsed[d.upstream.Service], d.upstream)
+		}
 	}
 	c.current.Store(s)
 }
--- a/inband/steerer.go
+++ b/inband/steerer.go
@@ -160,7 +160,8 @@
 // chooseUpstream returns the upstream of a new flow, or nil if no upstream of the route accepts one.
 func (s *Steerer) chooseUpstream(snapshot *catalog.Snapshot, route *catalog.Route, now time.Time) *catalog.Upstream {
 	s.candidates = s.candidates[:0]
-	for _, u := range snapshot.Ready(placement.ChooseService(route.Targets, s.options.Random.Float64())) {
+	service := placement.ChooseService(route.Targets, s.options.Random.Float64())
+	for _, u := range snapshot.Placeable(service, s.options.Freshness.UpstreamsValidatedAt()) {
 		if s.tokenIndex.isAmbiguous(snapshot, route.Address, u) {
 			continue
 		}
