Do not count closed flows as load because their last packets were late

Cause: a caller's last acknowledgements often arrive after the packet that closes the flow. The daemon had removed the flow by then, and added it again as an open one until the idle time-out of 15 s. A new upstream had none, so all daemons of its zone sent all new flows there until it had as many: 100 requests a second at an upstream that can serve 64, and 40 while it is cold. All late requests from 8 s to 11 s were on the four upstreams that the release had just started.

Change: a closed flow stays in the table for 2 s, is no load, and is no evidence of its upstream's health.

--- a/inband/flow.go
+++ b/inband/flow.go
@@ -24,15 +24,21 @@
 	isBusy bool
 	// sentAt is when this daemon first received the byte at dataStart.
 	sentAt time.Time
+	// isFinished is set when the caller has closed or reset the flow. Such a flow is no load.
+	isFinished bool
 }
 
 // idleAfter is how long a caller must have sent nothing for its flow to count as idle. It is longer
 // than the 200 ms after which the caller retransmits data without a response.
 const idleAfter = 300 * time.Millisecond
 
-// isIdle reports whether no request is in progress on the flow.
+// finishedRetention is how long a finished flow is kept, so that its last acknowledgements, which may
+// arrive after the packet that closed it, are not taken for packets of an open flow.
+const finishedRetention = 2 * time.Second
+
+// isIdle reports whether the flow is open and no request is in progress on it.
 func (f *flow) isIdle(now time.Time) bool {
-	return f.isOpen && f.retransmissions == 0 && now.Sub(f.lastSeen) > idleAfter
+	return f.isOpen && !f.isFinished && f.retransmissions == 0 && now.Sub(f.lastSeen) > idleAfter
 }
 
 // openLatency returns the time since the opening packet if the flow is not open yet, so that the packet
--- a/inband/steerer.go
+++ b/inband/steerer.go
@@ -68,7 +68,7 @@
 type Steerer struct {
 	options Options
 	flows   map[wire.FlowKey]*flow
-	// flowsByUpstream is the number of flows in the table by upstream key.
+	// flowsByUpstream is the number of unfinished flows in the table by upstream key.
 	flowsByUpstream map[uint64]int
 	// busyByUpstream is the number of those flows on which a request waits for a response.
 	busyByUpstream map[uint64]int
@@ -193,6 +193,10 @@
 		f = &flow{upstream: u}
 		s.addFlow(p.Flow, f)
 	}
+	if f.isFinished {
+		f.lastSeen = now
+		return forwardOpen(u, status)
+	}
 	openLatency := f.openLatency(now)
 	isDead := s.recordPacket(f, p, now)
 	// Only callers whose requests are retryable are reset, since they retry on a new flow.
@@ -201,16 +205,21 @@
 		return refuse(p, u, ReasonUpstreamDead)
 	}
 	if p.Finishes || p.Resets {
-		s.removeFlow(p.Flow)
-	}
-	v := forward(u, ReasonOpen)
-	if status == catalog.StatusMissing {
-		v.Reason = ReasonMissingUpstream
+		s.finishFlow(f)
 	}
+	v := forwardOpen(u, status)
 	v.OpenLatency = openLatency
 	return v
 }
 
+// forwardOpen returns the verdict on a packet of an open flow.
+func forwardOpen(u *catalog.Upstream, status catalog.RegistrationStatus) Verdict {
+	if status == catalog.StatusMissing {
+		return forward(u, ReasonMissingUpstream)
+	}
+	return forward(u, ReasonOpen)
+}
+
 // recordPacket updates the state of an open flow and the evidence on its upstream with a packet. It
 // reports whether the packet carries data to which the upstream will not respond.
 func (s *Steerer) recordPacket(f *flow, p platform.Packet, now time.Time) bool {
@@ -282,11 +291,20 @@
 	if f == nil {
 		return
 	}
+	s.finishFlow(f)
 	delete(s.flows, key)
+}
+
+// finishFlow marks a flow as finished and removes it from the counts of its upstream.
+func (s *Steerer) finishFlow(f *flow) {
+	if f.isFinished {
+		return
+	}
 	s.updateBusyCount(f.upstream.Key, f.isBusy, false)
 	if s.flowsByUpstream[f.upstream.Key]--; s.flowsByUpstream[f.upstream.Key] <= 0 {
 		delete(s.flowsByUpstream, f.upstream.Key)
 	}
+	f.isFinished, f.isBusy = true, false
 }
 
 // updateBusyCount updates the number of an upstream's busy flows after a change of one flow.
@@ -324,9 +342,9 @@
 	validatedAt := s.options.Freshness.UpstreamsValidatedAt()
 	for key, f := range s.flows {
 		switch {
-		case now.Sub(f.lastSeen) > idleTimeout:
+		case now.Sub(f.lastSeen) > idleTimeout, f.isFinished && now.Sub(f.lastSeen) > finishedRetention:
 			s.removeFlow(key)
-		case f.isOpen && snapshot.RegistrationStatus(f.upstream.Key, validatedAt) == catalog.StatusDeregistered:
+		case f.isOpen && !f.isFinished && snapshot.RegistrationStatus(f.upstream.Key, validatedAt) == catalog.StatusDeregistered:
 			s.endFlow(key, f, ReasonUpstreamDeregistered)
 		}
 	}
