Eject slow and silent upstreams by response times that daemons report to one another

Cause: nothing measured how long upstreams take. An upstream that answered eight times as slowly, or acknowledged requests and never answered half of them, kept receiving new flows until the fault ended.

Change: the daemon derives response times from the packets of callers, from the first byte of the request to the first acknowledgement of response data. A request that waits longer than a slow response, and at least 250 ms, counts as slow. Requests with retransmitted data are left out, so that lost packets are not taken for slowness. Package outlier decides: 3 slow responses, a fifth of all within 2 s and twice the share of all upstreams. Reports of other daemons count if two daemons have seen slow responses and this one has not seen fast ones only. An ejection lasts 2 s and doubles up to 16 s; probes of the whole fleet, 8 a second, end it. Open flows stay where they are. Daemons pass reports on once, at most 1,000 B/s each. With more than half of a service ejected, placement ignores ejections.

Ruled out: retransmissions as the signal (upstreams acknowledge data after 200 ms at the latest, also when silent: 1 of 7,191 flows had one); verdicts of one daemon alone (at 195 daemons each sees an upstream answer once in 6 s).

What remains on deployments with long flows are the open flows of slow upstreams.

--- a/edge/logging.go
+++ b/edge/logging.go
@@ -23,6 +23,7 @@
 	eventLinesDropped    = "log_lines_lost"
 	eventFlow            = "flow"
 	eventUpstreamHealth  = "upstream_belief"
+	eventUpstreamOutlier = "upstream_outlier"
 	eventFlowEnded       = "flow_ended"
 	eventPacketSendError = "packet_send_failed"
 )
--- a/edge/packets.go
+++ b/edge/packets.go
@@ -11,6 +11,7 @@
 
 	"github.com/fulmarfield/fulmarfield/catalog"
 	"github.com/fulmarfield/fulmarfield/inband"
+	"github.com/fulmarfield/fulmarfield/outlier"
 	"github.com/fulmarfield/fulmarfield/platform"
 	"github.com/fulmarfield/fulmarfield/telemetry"
 	"github.com/fulmarfield/fulmarfield/wire"
@@ -40,6 +41,7 @@
 	logger      zerolog.Logger
 	lineLimiter rateLimiter
 	output      *asyncWriter
+	peers       reportPeers
 	// validatedAt returns when the upstreams were last known to be the latest.
 	validatedAt func() time.Time
 	// sendBuffer is reused for all datagrams that are sent.
@@ -49,6 +51,12 @@
 	lastPacketAt *atomicTime
 }
 
+// reportPeers exchanges reports on upstreams' response times with other daemons.
+type reportPeers interface {
+	Reports() <-chan outlier.Report
+	PublishReports(reports []outlier.Report)
+}
+
 // verdictCounters holds one counter for each action and reason.
 type verdictCounters [inband.ActionCount][inband.ReasonCount]metrics.Counter
 
@@ -113,9 +121,25 @@
 		}
 		now := time.Now()
 		l.lastPacketAt.set(now)
+		l.recordReports(now)
 		for _, d := range batch[:n] {
 			l.handlePacket(d.Data, now)
 		}
+		if reports := l.steerer.TakeReports(); len(reports) > 0 {
+			l.peers.PublishReports(reports)
+		}
+	}
+}
+
+// recordReports passes the reports of other daemons that have arrived to the steerer.
+func (l *packetLoop) recordReports(now time.Time) {
+	for {
+		select {
+		case r := <-l.peers.Reports():
+			l.steerer.RecordReport(r, now)
+		default:
+			return
+		}
 	}
 }
 
@@ -146,6 +170,7 @@
 	}
 	l.recordSendError(p.Flow, err, now)
 	l.logHealthChanges(now)
+	l.logOutlierChanges(now)
 	for _, e := range l.steerer.TakeEndedFlows() {
 		l.counters.Count("ended." + e.Reason.String())
 		if l.allowLine(now) {
@@ -181,6 +206,19 @@
 	}
 }
 
+// logOutlierChanges writes a line for each upstream that begins or ceases to be an outlier.
+func (l *packetLoop) logOutlierChanges(now time.Time) {
+	for _, c := range l.steerer.TakeOutlierChanges() {
+		l.counters.Count("outlier." + c.State.String())
+		u := l.catalog.Current().Upstream(c.Upstream)
+		if u == nil || !l.allowLine(now) {
+			continue
+		}
+		l.logger.Info().Str("event", eventUpstreamOutlier).Str("upstream", u.ID).Str("zone", u.Zone).
+			Stringer("state", c.State).Str("evidence", c.Evidence).Send()
+	}
+}
+
 // allowLine reports whether a line about a single flow may be written. If it may, it first logs how
 // many lines were dropped or suppressed before.
 func (l *packetLoop) allowLine(now time.Time) bool {
--- a/experiment/signals/simulation.go
+++ b/experiment/signals/simulation.go
@@ -121,7 +121,8 @@
 	for range params.Daemons {
 		sim.daemons = append(sim.daemons, inband.NewSteerer(inband.Options{
 			Zone: "z", Catalog: sim.catalog, Freshness: sim, PropagationBound: 3 * time.Second,
-			Random: rand.New(rand.NewPCG(seed, uint64(len(sim.daemons)+2))),
+			Random:      rand.New(rand.NewPCG(seed, uint64(len(sim.daemons)+2))),
+			DaemonCount: func() int { return params.Daemons },
 		}))
 	}
 	return sim
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -76,6 +76,7 @@
 	options Options
 	port    uint16
 	http    *http.Client
+	reports *reportRelay
 	// isLeaving is set when this daemon is shutting down.
 	isLeaving atomic.Bool
 
@@ -95,7 +96,7 @@
 	}
 	return &Fleet{
 		options: o, port: local.Port(), members: newMembers(local.Addr()), tickedAt: time.Now(),
-		http: &http.Client{Transport: o.Transport},
+		http: &http.Client{Transport: o.Transport}, reports: newReportRelay(),
 	}
 }
 
@@ -104,6 +105,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return f.receive(ctx) })
 	group.Go(func() error { return f.gossipLoop(ctx) })
+	group.Go(func() error { return f.relayReports(ctx) })
 	return group.Wait()
 }
 
@@ -193,6 +195,11 @@
 		f.options.Logger.Error().Str("event", "fleet_encode_failed").Err(err).Send()
 		return
 	}
+	f.sendDatagram(to, raw)
+}
+
+// sendDatagram sends an encoded datagram to the given daemons.
+func (f *Fleet) sendDatagram(to []netip.Addr, raw []byte) {
 	for _, a := range to {
 		if a == f.members.self {
 			continue
@@ -258,6 +265,10 @@
 		f.options.Counters.CountDrop("fleet_after_pause")
 		return
 	}
+	if len(m.GetReports()) > 0 {
+		f.handleReports(m, now)
+		return
+	}
 	isFresher := false
 	for _, c := range m.GetConfirmations() {
 		isFresher = f.options.Syncer.HandleAdvertisement(discovery.Advertisement{
--- /dev/null
+++ b/fleet/reports_test.go
@@ -0,0 +1,176 @@
+package fleet
+
+import (
+	"fmt"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/outlier"
+	"github.com/fulmarfield/fulmarfield/wire"
+	"github.com/fulmarfield/fulmarfield/wire/memnet"
+)
+
+// drain returns the reports of other daemons that have arrived.
+func drain(f *Fleet) []outlier.Report {
+	var reports []outlier.Report
+	for {
+		select {
+		case r := <-f.Reports():
+			reports = append(reports, r)
+		default:
+			return reports
+		}
+	}
+}
+
+// startAcquaintedDaemons starts daemons on a network with a latency of 1 ms and waits until they know one another. A
+// packet is lost if isLost returns true.
+func startAcquaintedDaemons(t *testing.T, daemons int, isLost func(from netip.AddrPort) bool) []*Fleet {
+	var lists atomic.Int64
+	network := memnet.New(func(from, _ netip.AddrPort, _ []byte) []time.Duration {
+		if isLost(from) {
+			return nil
+		}
+		return []time.Duration{time.Millisecond}
+	})
+	fleets := startDaemons(t, network, daemons, &lists)
+	time.Sleep(20 * time.Second)
+	return fleets
+}
+
+func never(netip.AddrPort) bool { return false }
+
+// Guards against reports that reach few daemons or reach them late, so that the others keep placing flows on
+// a slow upstream, and against reports that reach a daemon twice.
+func TestReportsReachTheFleet(t *testing.T) {
+	for _, daemons := range []int{6, 83, 231} {
+		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				fleets := startAcquaintedDaemons(t, daemons, never)
+				const origins = 3
+				for i, f := range fleets[:origins] {
+					f.PublishReports([]outlier.Report{{Upstream: 7, Serial: 1, ObservedAt: time.Now(), Slow: i + 1}})
+				}
+				time.Sleep(time.Second)
+				reached := 0
+				for i, f := range fleets {
+					received := map[netip.Addr]int{}
+					for _, r := range drain(f) {
+						received[r.Origin]++
+						g.Expect(r.Upstream).To(BeEquivalentTo(7))
+						g.Expect(time.Since(r.ObservedAt)).To(BeNumerically("~", time.Second, 100*time.Millisecond))
+					}
+					for _, count := range received {
+						g.Expect(count).To(Equal(1))
+					}
+					if i >= origins && len(received) >= 2 {
+						reached++
+					}
+				}
+				g.Expect(reached).To(BeNumerically(">=", 95*(daemons-origins)/100))
+			})
+		})
+	}
+}
+
+// Guards against reports that need certain daemons: a third of them die.
+func TestReportsPassDeadDaemons(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var isDead atomic.Bool
+		fleets := startAcquaintedDaemons(t, 60, func(from netip.AddrPort) bool {
+			return isDead.Load() && from.Addr().As4()[3]%3 == 0
+		})
+		isDead.Store(true)
+		for _, f := range fleets[:2] {
+			f.PublishReports([]outlier.Report{{Upstream: 7, Serial: 1, ObservedAt: time.Now(), Slow: 1}})
+		}
+		time.Sleep(time.Second)
+		reached := 0
+		for _, f := range fleets {
+			if len(drain(f)) > 0 {
+				reached++
+			}
+		}
+		g.Expect(reached).To(BeNumerically(">=", 54))
+	})
+}
+
+// Guards against control traffic without a limit, when each daemon reports many upstreams all the time.
+func TestReportsKeepToTheirBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		fleets := startAcquaintedDaemons(t, 30, never)
+		before := fleets[0].options.Counters.Snapshot()["fleet.sent_bytes"]
+		const seconds = 60
+		for second := range seconds {
+			for _, f := range fleets {
+				var reports []outlier.Report
+				for upstream := range uint64(50) {
+					reports = append(reports, outlier.Report{Upstream: upstream, Serial: uint32(second), ObservedAt: time.Now(), Slow: 1})
+				}
+				f.PublishReports(reports)
+			}
+			time.Sleep(time.Second)
+		}
+		sent := fleets[0].options.Counters.Snapshot()["fleet.sent_bytes"] - before
+		g.Expect(sent / seconds).To(BeNumerically("<", 2000))
+		g.Expect(fleets[0].options.Counters.Snapshot()["fleet.reports_dropped"]).NotTo(BeZero())
+	})
+}
+
+// Guards against old, replayed, foreign and excessive contents of datagrams: none may reach the daemon as
+// another report, and none may be answered.
+func TestDatagramsWithInvalidReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := startAcquaintedDaemons(t, 2, never)[0]
+		send := func(r *pb.ResponseReport) []outlier.Report {
+			raw, err := proto.Marshal(&pb.FleetDatagram{Reports: []*pb.ResponseReport{r}})
+			g.Expect(err).NotTo(HaveOccurred())
+			f.handleDatagram(wire.Datagram{Addr: netip.AddrPortFrom(address(1), port), Data: raw}, time.Now())
+			return drain(f)
+		}
+		valid := &pb.ResponseReport{Upstream: 1, Origin: 0x0a000063, Serial: 1 << 31, Slow: 1}
+		g.Expect(send(valid)).To(HaveLen(1))
+		g.Expect(send(valid)).To(BeEmpty(), "replayed")
+		g.Expect(send(&pb.ResponseReport{Upstream: 1, Origin: 0x0a000063, Serial: 1<<31 - 5, Slow: 1})).To(BeEmpty(), "older")
+		g.Expect(send(&pb.ResponseReport{Upstream: 2, Origin: 0x0a000063, AgeMs: 2500, Slow: 1})).To(BeEmpty(), "expired")
+		g.Expect(send(&pb.ResponseReport{Upstream: 2, Origin: 0x0a000001, Slow: 1})).To(BeEmpty(), "in the name of this daemon")
+		excessive := send(&pb.ResponseReport{Upstream: 3, Origin: 0x0a000063, Slow: 1 << 31, Fast: 1 << 31})
+		g.Expect(excessive).To(HaveLen(1))
+		g.Expect(excessive[0].Slow).To(Equal(maxReportedCount))
+	})
+}
+
+// FuzzDatagram feeds arbitrary datagrams to a daemon, which must neither fail nor pass on a report that is
+// expired or heavier than allowed.
+func FuzzDatagram(f *testing.F) {
+	valid, err := proto.Marshal(&pb.FleetDatagram{Zone: "z", Daemons: []uint32{1}, Reports: []*pb.ResponseReport{{Upstream: 1, Origin: 9, Slow: 1}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(valid)
+	f.Add([]byte{0xff, 0x00})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		synctest.Test(t, func(t *testing.T) {
+			var lists atomic.Int64
+			fleet := startDaemons(t, memnet.New(nil), 1, &lists)[0]
+			now := time.Now()
+			fleet.handleDatagram(wire.Datagram{Addr: netip.AddrPortFrom(address(1), port), Data: raw}, now)
+			for _, r := range drain(fleet) {
+				if now.Sub(r.ObservedAt) > maxReportAge || r.Slow > maxReportedCount || r.Fast > maxReportedCount {
+					t.Fatalf("report %+v", r)
+				}
+			}
+		})
+	})
+}
--- a/inband/flow.go
+++ b/inband/flow.go
@@ -24,6 +24,9 @@
 	isBusy bool
 	// sentAt is when this daemon first received the byte at dataStart.
 	sentAt time.Time
+	// requestedAt is when the present request began. It is the zero time if none is in progress, or
+	// if the response time of the present one is not measured.
+	requestedAt time.Time
 	// isFinished is set when the caller has closed or reset the flow. Such a flow is no load.
 	isFinished bool
 }
--- a/inband/steerer.go
+++ b/inband/steerer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fulmarfield/fulmarfield/catalog"
+	"github.com/fulmarfield/fulmarfield/outlier"
 	"github.com/fulmarfield/fulmarfield/placement"
 	"github.com/fulmarfield/fulmarfield/platform"
 	"github.com/fulmarfield/fulmarfield/suspicion"
@@ -47,6 +48,8 @@
 	// PropagationBound is the time within which a change must be in force on this daemon.
 	PropagationBound time.Duration
 	Random           *rand.Rand
+	// DaemonCount returns the number of daemons that are known, this one included.
+	DaemonCount func() int
 }
 
 // pendingOpen is an opening packet after which the caller has sent nothing yet.
@@ -74,6 +77,8 @@
 	busyByUpstream map[uint64]int
 	tokenIndex     tokenIndex
 	tracker        *suspicion.Tracker
+	detector       *outlier.Detector
+	responses      *responses
 	pendingOpens   []pendingOpen
 	// unknownTokens holds the tokens of packets for which the catalog has no upstream, with the
 	// time of the first such packet.
@@ -87,7 +92,9 @@
 
 // NewSteerer returns a Steerer with an empty flow table.
 func NewSteerer(o Options) *Steerer {
+	detector := outlier.NewDetector(o.DaemonCount, o.Random)
 	return &Steerer{
+		detector: detector, responses: newResponses(detector),
 		options: o, flows: map[wire.FlowKey]*flow{}, flowsByUpstream: map[uint64]int{}, busyByUpstream: map[uint64]int{},
 		tracker: suspicion.NewTracker(), unknownTokens: map[uint32]time.Time{},
 	}
@@ -109,6 +116,21 @@
 // TakeHealthChanges returns the changes of upstreams' health states since the last call.
 func (s *Steerer) TakeHealthChanges() []suspicion.HealthChange { return s.tracker.TakeChanges() }
 
+// TakeReports returns what this daemon has to report to other daemons on response times since the last
+// call.
+func (s *Steerer) TakeReports() []outlier.Report { return s.detector.TakeReports() }
+
+// RecordReport records the report of another daemon on response times. Reports on upstreams that are
+// not registered are ignored.
+func (s *Steerer) RecordReport(r outlier.Report, now time.Time) {
+	if s.options.Catalog.Current().Upstream(r.Upstream) != nil {
+		s.detector.RecordReport(r, now)
+	}
+}
+
+// TakeOutlierChanges returns the changes of upstreams' outlier states since the last call.
+func (s *Steerer) TakeOutlierChanges() []outlier.Change { return s.detector.TakeChanges() }
+
 // Decide returns how to handle a packet.
 func (s *Steerer) Decide(p platform.Packet, now time.Time) Verdict {
 	s.maintain(now)
@@ -168,13 +190,16 @@
 		s.candidates = append(s.candidates, placement.Candidate{
 			Upstream: u, Flows: s.flowsByUpstream[u.Key], BusyFlows: s.busyByUpstream[u.Key],
 			IsSuspect: s.tracker.IsSuspect(u.Key, now),
+			IsOutlier: s.detector.State(u.Key, now) != outlier.Accepted && !s.detector.IsProbeDue(u.Key, now),
 		})
 	}
 	i := placement.Choose(s.options.Zone, s.candidates, now, s.options.Random.Float64)
 	if i < 0 {
 		return nil
 	}
-	return s.candidates[i].Upstream
+	u := s.candidates[i].Upstream
+	s.detector.RecordPlacement(u.Key, now)
+	return u
 }
 
 // steer forwards a packet of an open flow to the upstream that its token identifies.
@@ -227,6 +252,7 @@
 	wasBusy := f.isBusy
 	observed := f.observe(p, now)
 	s.updateBusyCount(upstream, wasBusy, f.isBusy)
+	s.responses.recordPacket(f, p, observed, wasBusy, now)
 	isDead := false
 	switch observed {
 	case eventProgress:
@@ -304,7 +330,7 @@
 	if s.flowsByUpstream[f.upstream.Key]--; s.flowsByUpstream[f.upstream.Key] <= 0 {
 		delete(s.flowsByUpstream, f.upstream.Key)
 	}
-	f.isFinished, f.isBusy = true, false
+	f.isFinished, f.isBusy, f.requestedAt = true, false, time.Time{}
 }
 
 // updateBusyCount updates the number of an upstream's busy flows after a change of one flow.
@@ -319,8 +345,8 @@
 	}
 }
 
-// maintain records opening packets that got no response, removes idle flows and expired unknown
-// tokens, and ends the flows of deregistered upstreams.
+// maintain records opening packets that got no response and overdue requests, and sweeps the tables once
+// per sweepInterval.
 func (s *Steerer) maintain(now time.Time) {
 	for len(s.pendingOpens) > 0 && now.Sub(s.pendingOpens[0].sentAt) > pendingOpenTimeout {
 		o := s.pendingOpens[0]
@@ -330,11 +356,25 @@
 			s.removeFlow(o.key)
 		}
 	}
+	s.responses.findOverdue(s.flows, now)
 	if now.Sub(s.lastSweep) < sweepInterval {
 		return
 	}
 	s.lastSweep = now
 	snapshot := s.options.Catalog.Current()
+	s.sweepFlows(snapshot, now)
+	for token, since := range s.unknownTokens {
+		if now.Sub(since) > defaultIdleTimeout {
+			delete(s.unknownTokens, token)
+		}
+	}
+	s.tracker.Retain(func(key uint64) bool { return s.flowsByUpstream[key] > 0 || s.tracker.IsSuspect(key, now) })
+	s.detector.Retain(func(key uint64) bool { return snapshot.Upstream(key) != nil }, now)
+	s.responses.retain(snapshot)
+}
+
+// sweepFlows removes idle and finished flows, and ends the flows of deregistered upstreams.
+func (s *Steerer) sweepFlows(snapshot *catalog.Snapshot, now time.Time) {
 	idleTimeout := defaultIdleTimeout
 	if snapshot.Config != nil && snapshot.Config.IdleTimeout > 0 {
 		idleTimeout = snapshot.Config.IdleTimeout
@@ -348,10 +388,4 @@
 			s.endFlow(key, f, ReasonUpstreamDeregistered)
 		}
 	}
-	for token, since := range s.unknownTokens {
-		if now.Sub(since) > defaultIdleTimeout {
-			delete(s.unknownTokens, token)
-		}
-	}
-	s.tracker.Retain(func(key uint64) bool { return s.flowsByUpstream[key] > 0 || s.tracker.IsSuspect(key, now) })
 }
--- a/inband/steerer_test.go
+++ b/inband/steerer_test.go
@@ -82,7 +82,7 @@
 func (h *harness) restart() {
 	h.steerer = inband.NewSteerer(inband.Options{
 		Zone: "schuur", Catalog: h.catalog, Freshness: h, PropagationBound: 3 * time.Second,
-		Random: rand.New(rand.NewPCG(1, 2)),
+		Random: rand.New(rand.NewPCG(1, 2)), DaemonCount: func() int { return 1 },
 	})
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -25,6 +25,9 @@
 	// suspectCost exceeds the cost of any load, so that a suspect upstream is chosen only when
 	// all upstreams are suspect.
 	suspectCost = 1e6
+	// maxOutlierShare is the share of a service's upstreams that may be outliers. If there are more,
+	// the others could not carry the load, and outliers are chosen like them.
+	maxOutlierShare = 0.5
 )
 
 // Candidate is an upstream with its load and health as seen by the daemon.
@@ -35,15 +38,21 @@
 	// BusyFlows is the number of those flows on which a request waits for a response.
 	BusyFlows int
 	IsSuspect bool
+	// IsOutlier is set while the upstream responds too slowly to receive new flows.
+	IsOutlier bool
 }
 
 // Choose returns the index of the candidate with the lowest cost, or -1 if there are none. random
 // returns a number in [0, 1) and breaks ties, so that the daemons do not all choose the same upstream.
 func Choose(zone string, candidates []Candidate, now time.Time, random func() float64) int {
-	slots := 0
+	slots, outliers := 0, 0
 	for _, c := range candidates {
 		slots += c.Upstream.Slots
+		if c.IsOutlier {
+			outliers++
+		}
 	}
+	avoidsOutliers := float64(outliers) <= maxOutlierShare*float64(len(candidates))
 	zoneCost := crossZoneCost(candidates)
 	best, lowestCost := -1, 0.0
 	for i, c := range candidates {
@@ -56,7 +65,7 @@
 		if c.Upstream.IsCold(now) {
 			cost += coldCost
 		}
-		if c.IsSuspect {
+		if c.IsSuspect || c.IsOutlier && avoidsOutliers {
 			cost += suspectCost
 		}
 		if best < 0 || cost < lowestCost {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -96,3 +96,19 @@
 	list[0].Flows, list[0].BusyFlows, list[1].Flows = 3, 3, 5
 	g.Expect(placement.Choose("a", list, now, func() float64 { return 0 })).To(Equal(1))
 }
+
+// Guards against new flows to outliers, and against the rest of a service that has to carry the load of more
+// than half of it: then an outlier is better than an overloaded upstream.
+func TestOutliersAreAvoidedUpToHalf(t *testing.T) {
+	g := NewWithT(t)
+	list := candidates("a", "a", "a", "a")
+	list[0].IsOutlier, list[1].IsOutlier = true, true
+	placeFlows("a", list, 40)
+	g.Expect([]int{list[0].Flows, list[1].Flows}).To(HaveEach(0))
+	list = candidates("a", "a", "a", "a")
+	list[0].IsOutlier, list[1].IsOutlier, list[2].IsOutlier = true, true, true
+	placeFlows("a", list, 40)
+	for _, c := range list {
+		g.Expect(c.Flows).To(BeNumerically("~", 10, 1))
+	}
+}
