Skew the time of the next list by the logarithm of the fleet's size

Cause of the known failure TestListsDoNotGrowWithTheFleet/300 (120 lists, bound fewer than 120): daemons validate their records at a random time, skewed towards late so that few draw an early one. The skew grew in proportion to the number of known daemons: with 64, the lowest of 300 draws lay so far up that the next ones followed within the tens of milliseconds in which the first one notifies the others, and several daemons listed in each cycle.

Change: the skew grows with the logarithm of the number, which keeps the lowest draw where draws are sparse.

The bound is unchanged.

--- a/discovery/freshness.go
+++ b/discovery/freshness.go
@@ -19,10 +19,6 @@
 	// another one or passes an advertisement on. Advertisements that result from the same list
 	// differ by less: by the latency over several daemons and by scheduling delays on small VMs.
 	minFreshnessGain = 300 * time.Millisecond
-	// jitterSkewDaemons is the number of further daemons that raises the skew of the jitter by one
-	// step. With this skew, the first daemon that reads has notified the others before the next one
-	// begins.
-	jitterSkewDaemons = 4
 )
 
 // Advertisement is another daemon's statement that its records of a kind, which have this digest,
@@ -131,7 +127,9 @@
 	}
 }
 
-// jitter skews a random number in [0, 1) so that few of many daemons draw a low value.
+// jitter skews a random number in [0, 1) so that few of many daemons draw a low value. The skew grows with
+// the logarithm of their number: then the lowest of all draws stays in the middle of the range, where the
+// draws are sparse, and its daemon has notified the others before the next one begins.
 func jitter(random float64, daemons int) float64 {
-	return math.Pow(random, 1/(1+float64(daemons)/jitterSkewDaemons))
+	return math.Pow(random, 1/(1+math.Log1p(float64(daemons))))
 }
