--- a/client/logs.go
+++ b/client/logs.go
@@ -9,7 +9,7 @@
 	"github.com/fulmarfield/fulmarfield/logread"
 )
 
-const logsUsage = "logs needs: flow CALLER[>SERVICE] [FILE...], or beliefs TIME [FILE...] with a time as 2026-12-04T09:00:02.5Z; without files it reads standard input"
+const logsUsage = "logs needs: flow CALLER[>SERVICE] [FILE...], upstream ID [FILE...], or beliefs TIME [FILE...] with a time as 2026-12-04T09:00:02.5Z; without files it reads standard input"
 
 // runLogs evaluates log files of daemons and returns the exit status. It calls no daemon.
 func (p *Program) runLogs(args []string, out io.Writer) int {
@@ -18,7 +18,9 @@
 		return ExitUsage
 	}
 	at, timeErr := time.Parse(time.RFC3339Nano, args[1])
-	if args[0] != "flow" && (args[0] != "beliefs" || timeErr != nil) {
+	switch {
+	case args[0] == "flow", args[0] == "upstream", args[0] == "beliefs" && timeErr == nil:
+	default:
 		p.errorf("%s\n", logsUsage)
 		return ExitUsage
 	}
@@ -28,9 +30,12 @@
 		return ExitUsage
 	}
 	var found int
-	if args[0] == "flow" {
+	switch args[0] {
+	case "flow":
 		found, err = logread.WriteFlowTimeline(out, lines, args[1])
-	} else {
+	case "upstream":
+		found, err = logread.WriteUpstreamTimeline(out, lines, args[1])
+	default:
 		found, err = logread.WriteDaemonStates(out, lines, at)
 	}
 	switch {
--- a/client/logs_test.go
+++ b/client/logs_test.go
@@ -26,6 +26,8 @@
 	}{
 		{[]string{"flow", "100.64.0.7:1051"}, line, client.ExitOK, "reset: no_route"},
 		{[]string{"beliefs", "2026-12-04T09:00:02Z"}, line, client.ExitOK, "front-1"},
+		{[]string{"upstream", "i-a1"}, `{"daemon":"front-1","event":"upstream_outlier","upstream":"i-a1","state":"ejected","evidence":"slow","time":"2026-12-04T09:00:01Z"}`, client.ExitOK, "i-a1 is ejected: slow"},
+		{[]string{"upstream", "i-a2"}, line, client.ExitRefused, "no line"},
 		{[]string{"flow", "100.64.0.9"}, line, client.ExitRefused, "no line"},
 		{[]string{"flow", "100.64.0.7", path}, "", client.ExitUsage, path + ":2"},
 		{[]string{"flow", "100.64.0.7", path + "x"}, "", client.ExitUsage, path + "x"},
--- a/client/program.go
+++ b/client/program.go
@@ -54,6 +54,7 @@
   run FILE          run a file of queries and commands, one on a line
   prompt            read queries and commands from the terminal
   logs flow FLOW [FILE...]     the story of one flow, from logs of in-band daemons
+  logs upstream ID [FILE...]   how the health of an upstream changed, and on what evidence
   logs beliefs TIME [FILE...]  what each in-band daemon believed at a time`
 
 // Program is one run of the client.
--- a/logread/logread.go
+++ b/logread/logread.go
@@ -93,17 +93,40 @@
 	sortByTime(timeline)
 	first, last := timeline[0].At.Add(-timelineMargin), timeline[len(timeline)-1].At.Add(timelineMargin)
 	for _, l := range lines {
-		if l.Event == "upstream_belief" && upstreams[l.field("upstream")] && l.At.After(first) && l.At.Before(last) {
+		if isHealthChange(l) && upstreams[l.field("upstream")] && l.At.After(first) && l.At.Before(last) {
 			timeline = append(timeline, l)
 		}
 	}
 	sortByTime(timeline)
+	return len(timeline), writeTimeline(w, timeline)
+}
+
+// isHealthChange reports whether a line is about a change of an upstream's health.
+func isHealthChange(l Line) bool {
+	return l.Event == "upstream_belief" || l.Event == "upstream_outlier"
+}
+
+// WriteUpstreamTimeline writes, in order of time, the health changes of an upstream on all daemons, with the
+// evidence, and the flows that daemons reset because of them. It returns the number of lines written.
+func WriteUpstreamTimeline(w io.Writer, lines []Line, upstream string) (int, error) {
+	var timeline []Line
+	for _, l := range lines {
+		if l.field("upstream") == upstream && (isHealthChange(l) || l.Event == "flow_ended") {
+			timeline = append(timeline, l)
+		}
+	}
+	sortByTime(timeline)
+	return len(timeline), writeTimeline(w, timeline)
+}
+
+// writeTimeline writes lines with their times and daemons.
+func writeTimeline(w io.Writer, timeline []Line) error {
 	for _, l := range timeline {
 		if _, err := fmt.Fprintf(w, "%s %-20s %s\n", l.At.Format("15:04:05.000"), l.Daemon, describe(l)); err != nil {
-			return 0, fmt.Errorf("write the story: %w", err)
+			return fmt.Errorf("write the timeline: %w", err)
 		}
 	}
-	return len(timeline), nil
+	return nil
 }
 
 func sortByTime(lines []Line) {
@@ -124,6 +147,8 @@
 		return fmt.Sprintf("reset while idle: %s, upstream %s in %s", l.field("reason"), l.field("upstream"), l.field("zone"))
 	case "upstream_belief":
 		return fmt.Sprintf("upstream %s is %s: %s", l.field("upstream"), l.field("belief"), l.field("evidence"))
+	case "upstream_outlier":
+		return fmt.Sprintf("upstream %s is %s: %s", l.field("upstream"), l.field("state"), l.field("evidence"))
 	default:
 		return l.Raw
 	}
@@ -134,8 +159,9 @@
 type daemonState struct {
 	generation, upstreamsVersion, upstreamCount string
 	storeStatus, state                          string
-	// unhealthy is the last logged health state of each upstream that is not healthy.
-	unhealthy map[string]string
+	// unhealthy is the last logged health state of each upstream that is not healthy, and outliers the
+	// outlier state of each upstream that is not accepted.
+	unhealthy, outliers map[string]string
 }
 
 // WriteDaemonStates writes one line for each daemon with its state at the given time. A daemon that
@@ -150,7 +176,7 @@
 		}
 		s := daemons[l.Daemon]
 		if s == nil || l.Event == "daemon_started" {
-			s = &daemonState{generation: "-", upstreamsVersion: "-", upstreamCount: "-", storeStatus: "not heard", state: "running", unhealthy: map[string]string{}}
+			s = &daemonState{generation: "-", upstreamsVersion: "-", upstreamCount: "-", storeStatus: "not heard", state: "running", unhealthy: map[string]string{}, outliers: map[string]string{}}
 			daemons[l.Daemon] = s
 		}
 		s.apply(l)
@@ -162,19 +188,25 @@
 	slices.Sort(names)
 	for _, name := range names {
 		s := daemons[name]
-		var unhealthy []string
-		for upstream, state := range s.unhealthy {
-			unhealthy = append(unhealthy, upstream+" "+state)
-		}
-		slices.Sort(unhealthy)
-		if _, err := fmt.Fprintf(w, "%-20s %-9s generation %s, %s upstreams as of %s, store %s, suspects: %s\n",
-			name, s.state, s.generation, s.upstreamCount, s.upstreamsVersion, s.storeStatus, strings.Join(unhealthy, ", ")); err != nil {
+		if _, err := fmt.Fprintf(w, "%-20s %-9s generation %s, %s upstreams as of %s, store %s, suspects: %s, outliers: %s\n",
+			name, s.state, s.generation, s.upstreamCount, s.upstreamsVersion, s.storeStatus,
+			joinStates(s.unhealthy), joinStates(s.outliers)); err != nil {
 			return 0, fmt.Errorf("write beliefs: %w", err)
 		}
 	}
 	return len(names), nil
 }
 
+// joinStates returns the upstreams of a map, each with its state, in the order of their IDs.
+func joinStates(states map[string]string) string {
+	var list []string
+	for upstream, state := range states {
+		list = append(list, upstream+" "+state)
+	}
+	slices.Sort(list)
+	return strings.Join(list, ", ")
+}
+
 // apply updates the state by a log line of the daemon.
 func (s *daemonState) apply(l Line) {
 	switch l.Event {
@@ -190,6 +222,12 @@
 		s.state = "leaving"
 	case "daemon_stopped":
 		s.state = "ended"
+	case "upstream_outlier":
+		if l.field("state") == "accepted" {
+			delete(s.outliers, l.field("upstream"))
+		} else {
+			s.outliers[l.field("upstream")] = l.field("state")
+		}
 	case "upstream_belief":
 		if l.field("belief") == "heard" {
 			delete(s.unhealthy, l.field("upstream"))
