--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -252,18 +252,26 @@
 
 // requiredShare returns the least share of slow responses of an outlier at present.
 func (d *Detector) requiredShare(now time.Time) float64 {
+	return min(max(minShareFactor*d.shareOfAll(now), minSlowShare), certainSlowShare)
+}
+
+// shareOfAll returns the share of slow responses of all upstreams that this daemon has observed lately, or
+// 1 if they are too few.
+func (d *Detector) shareOfAll(now time.Time) float64 {
 	slow, fast := d.all.recent(now)
 	if slow+fast < minAllResponses {
-		return certainSlowShare
+		return 1
 	}
-	required := minShareFactor * float64(slow) / float64(slow+fast)
-	return min(max(required, minSlowShare), certainSlowShare)
+	return float64(slow) / float64(slow+fast)
 }
 
+// share returns the share of slow responses, or 0 if there is no response.
+func (t totals) share() float64 { return float64(t.slow) / float64(max(t.slow+t.fast, 1)) }
+
 // isOutlier reports whether an accepted upstream has to be ejected, given the least share of slow
 // responses of an outlier.
 func (t totals) isOutlier(requiredShare float64) bool {
-	if t.slow < minSlowResponses || float64(t.slow) < requiredShare*float64(t.slow+t.fast) {
+	if t.slow < minSlowResponses || t.share() < requiredShare {
 		return false
 	}
 	if t.ownSlow >= minSlowResponses {
