Call the store less often for watches in large fleets

Counters of all daemons in its first 20 s: 7,568 watches at a tenth of the price, 1,674 of them refused and retried (the store refuses 68 VMs for 9 s; each task retried after 50 ms to 1 s), 386 stale lists, 126 lists.

Ruled out: the lists (126 of them for 195 daemons); the start (one stale list a kind and daemon).

Change: refused watches are retried with the pauses of the breaker for other calls (up to 4 s in a large fleet), and after changes a watch waits longer in a large fleet (up to 0.6 instead of 0.24 of the bound). Watches only deliver early; lists and advertisements keep the bound as before.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -24,8 +24,11 @@
 	watchWait = 25 * time.Second
 	// minBatchDelayShare is the shortest delay after a watch has delivered changes, as a share of
 	// the time in which a change must be in force. The longest delay is twice as long. During the
-	// delay further changes accumulate, so that one call returns them together.
+	// delay further changes accumulate, so that one call returns them together. The shortest delay
+	// is twice as long with batchDelayDaemons other daemons, and at most maxBatchDelayShare.
 	minBatchDelayShare = 0.12
+	batchDelayDaemons  = 32
+	maxBatchDelayShare = 0.3
 	// daemonDiscoveryTimeout bounds how long a starting daemon waits for the first datagram of
 	// another daemon: several times the latency between zones. initialRecordsTimeout bounds its
 	// wait for that daemon's records.
@@ -39,8 +42,7 @@
 	// minListInterval bounds the rate of the lists that packets can cause. A caller retransmits its
 	// packet after 200 ms and 600 ms.
 	minListInterval = 300 * time.Millisecond
-	// firstBackoff and maxBackoff bound the back-off after a failed watch and after a failed attempt
-	// to refresh a kind.
+	// firstBackoff and maxBackoff bound the back-off after a failed attempt to refresh a kind.
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = time.Second
 	// breakerPollInterval is how often a watch checks whether the breaker allows calls to the
--- a/discovery/list_test.go
+++ b/discovery/list_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -90,3 +91,40 @@
 	}})
 	g.Expect(c.Current().UpstreamCount()).To(BeZero())
 }
+
+// refusingStore lists no records and refuses each watch at once.
+type refusingStore struct{ watches int }
+
+func (s *refusingStore) ListPage(context.Context, store.Kind, string, store.Consistency) (store.Page, error) {
+	return store.Page{AsOf: 5}, nil
+}
+
+func (s *refusingStore) WatchKind(context.Context, store.Kind, store.Version, time.Duration) (store.Changes, error) {
+	s.watches++
+	return store.Changes{}, store.ErrUnavailable
+}
+
+// manyPeers are the other daemons of a large fleet, none of which returns records.
+type manyPeers struct{}
+
+func (manyPeers) DaemonCount() int { return 64 }
+func (manyPeers) IsSeed() bool     { return false }
+func (manyPeers) ListRecords(context.Context, store.Kind, netip.Addr, []uint64) (RecordSet, error) {
+	return RecordSet{}, errNoFresherDaemon
+}
+
+// Guards against a store that refuses some VMs of a large fleet and receives most of its calls from the
+// retries of their watches.
+func TestRefusedWatchesAreRetriedSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &refusingStore{}
+		syncer := NewSyncer(Options{Store: s, Catalog: catalog.New(time.Now), Counters: telemetry.NewCounters(),
+			Logger: zerolog.Nop(), PropagationBound: 6 * time.Second})
+		syncer.SetPeers(manyPeers{}, func() {})
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		_ = syncer.Run(ctx)
+		// Two kinds are watched. Pauses of 2.56 s are halved at most by the jitter.
+		NewWithT(t).Expect(s.watches).To(BeNumerically("<", 2*20*1000/1280+2*4))
+	})
+}
--- a/discovery/watch.go
+++ b/discovery/watch.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"github.com/fulmarfield/fulmarfield/internal/wait"
 	"github.com/fulmarfield/fulmarfield/store"
 )
@@ -15,7 +17,7 @@
 // does not request a list, since the records are validated or read again within the propagation
 // bound in any case.
 func (s *Syncer) watch(ctx context.Context, kind store.Kind) error {
-	delays := newBackoff()
+	delays := s.newWatchBackoff()
 	for {
 		s.mu.Lock()
 		after, isLoaded := s.kinds[kind].recordCache.asOf, s.kinds[kind].isLoaded()
@@ -48,6 +50,7 @@
 			if wasOpen {
 				s.recordFailure(kind, err)
 			}
+			delays.MaxInterval = maxPause(s.daemonCount())
 			if err := wait.For(ctx, delays.NextBackOff()); err != nil {
 				return err
 			}
@@ -58,7 +61,7 @@
 				continue
 			}
 			// Further changes accumulate during this delay.
-			least := time.Duration(minBatchDelayShare * float64(s.options.PropagationBound))
+			least := batchDelay(s.options.PropagationBound, s.daemonCount())
 			if err := wait.For(ctx, least+rand.N(least)); err != nil {
 				return err
 			}
@@ -66,6 +69,24 @@
 	}
 }
 
+// batchDelay returns the least delay after a watch has delivered changes. It grows with the fleet: all its
+// daemons watch, and what one of them misses meanwhile it gets with the next list that any of them makes.
+func batchDelay(bound time.Duration, daemons int) time.Duration {
+	share := min(minBatchDelayShare*(1+float64(daemons)/batchDelayDaemons), maxBatchDelayShare)
+	return time.Duration(share * float64(bound))
+}
+
+// newWatchBackoff returns the back-off after failed watches. It is as long as the pauses between other failed
+// calls, since a watch only delivers changes early: when the store refuses some VMs of a large fleet for
+// seconds, the retries of their watches would be most of the fleet's calls.
+func (s *Syncer) newWatchBackoff() *backoff.ExponentialBackOff {
+	longest := maxPause(s.daemonCount())
+	return &backoff.ExponentialBackOff{
+		InitialInterval:     time.Duration(initialPauseShare * float64(longest)),
+		RandomizationFactor: backoff.DefaultRandomizationFactor, Multiplier: 2, MaxInterval: longest,
+	}
+}
+
 // waitForAdvance waits until the version of the cached records increases: by a list, or by the
 // advertisement of a daemon with the same records at a later version.
 func (s *Syncer) waitForAdvance(ctx context.Context, kind store.Kind) error {
