Make records as old as they are after a suspension of the VM

Cause, found while the reports of operators of similar systems were checked (a process that had been delayed acted on a permission that had run out): the age of cached records was measured by the monotonic clock, which stands still while a VM is suspended. After 10 s of suspension a daemon took records for fresh, could reset callers for a route that it had missed, and advertised its records as validated 10 s later than they were, so that others could read them as fresher.

Ruled out: pauses in which the clock goes on (SIGSTOP, a starved processor); ages grow there, and datagrams that waited are dropped already.

Change: the daemon compares the clock that counts suspensions with the one that does not, before each batch of packets and each use of the records' ages, and shifts their times. Lists under way lose the same time, datagrams that waited are dropped, and the store counts as available only since then.

--- a/discovery/advertisements.go
+++ b/discovery/advertisements.go
@@ -16,6 +16,7 @@
 func (s *Syncer) HandleAdvertisement(ad Advertisement) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.accountSuspensionLocked()
 	k := s.kinds[ad.Kind]
 	if k == nil || !k.isLoaded() {
 		return false
@@ -40,6 +41,7 @@
 func (s *Syncer) Advertisements() []Advertisement {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.accountSuspensionLocked()
 	var advertisements []Advertisement
 	for _, kind := range Kinds() {
 		if k := s.kinds[kind]; !k.freshness.validatedAt.IsZero() {
@@ -61,6 +63,7 @@
 func (s *Syncer) Records(kind store.Kind, digests []uint64) (RecordSet, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.accountSuspensionLocked()
 	k := s.kinds[kind]
 	if k == nil || k.freshness.validatedAt.IsZero() {
 		return RecordSet{}, fmt.Errorf("%s: %w", kind, ErrNotValidated)
--- a/discovery/breaker.go
+++ b/discovery/breaker.go
@@ -78,6 +78,15 @@
 	return isFirst
 }
 
+// restartAvailability counts a store that responds as available only since now.
+func (b *breaker) restartAvailability(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.availableSince.IsZero() {
+		b.availableSince = now
+	}
+}
+
 // storeAvailableSince returns since when the store has responded, the zero time while it does not.
 func (b *breaker) storeAvailableSince() time.Time {
 	b.mu.Lock()
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -70,6 +70,9 @@
 	Logger   zerolog.Logger
 	// PropagationBound is the time in which a change must be in force on this daemon.
 	PropagationBound time.Duration
+	// Suspended returns for how long the VM has been suspended since some time before the Syncer was
+	// created. nil means that it is never suspended.
+	Suspended func() time.Duration
 }
 
 // kindState is the state of one kind.
@@ -99,6 +102,8 @@
 
 	mu    sync.Mutex
 	kinds map[store.Kind]*kindState
+	// suspended is how much of Options.Suspended the ages of the cached records include.
+	suspended time.Duration
 	// listRequested marks the kinds that must be listed from the store, however fresh their cached
 	// records are.
 	listRequested map[store.Kind]bool
@@ -117,6 +122,9 @@
 		options: o, wake: map[store.Kind]chan struct{}{}, advanced: map[store.Kind]chan struct{}{},
 		kinds: map[store.Kind]*kindState{}, listRequested: map[store.Kind]bool{},
 	}
+	if o.Suspended != nil {
+		s.suspended = o.Suspended()
+	}
 	for _, kind := range Kinds() {
 		s.wake[kind] = make(chan struct{}, 1)
 		s.advanced[kind] = make(chan struct{}, 1)
--- a/discovery/revalidate.go
+++ b/discovery/revalidate.go
@@ -102,6 +102,7 @@
 func (s *Syncer) waitUntilDue(ctx context.Context, kind store.Kind) (readCause, error) {
 	for {
 		s.mu.Lock()
+		s.accountSuspensionLocked()
 		k := s.kinds[kind]
 		at, cause := k.freshness.nextRead(s.options.PropagationBound, k.jitter)
 		if s.listRequested[kind] {
@@ -139,6 +140,7 @@
 	s.mu.Lock()
 	s.listRequested[kind] = false
 	validatedAt := s.kinds[kind].freshness.validatedAt
+	suspended := s.accountSuspensionLocked()
 	s.mu.Unlock()
 	s.options.Counters.Count("store.list." + string(cause))
 	began := time.Now()
@@ -154,7 +156,7 @@
 		s.applyUnvalidated(kind, l)
 		return nil
 	}
-	s.applyRecordSet(kind, RecordSet{AsOf: l.AsOf, Buckets: allBuckets(), Records: l.Records, ValidatedAt: began}, true)
+	s.applyRecordSet(kind, RecordSet{AsOf: l.AsOf, Buckets: allBuckets(), Records: l.Records, ValidatedAt: began.Add(suspended - s.AccountSuspension())}, true)
 	return nil
 }
 
@@ -178,6 +180,7 @@
 	}
 	s.mu.Lock()
 	digests := s.kinds[kind].recordCache.buckets
+	suspended := s.accountSuspensionLocked()
 	s.mu.Unlock()
 	began := time.Now()
 	rs, err := s.peers.ListRecords(ctx, kind, from, digests[:])
@@ -186,6 +189,7 @@
 		s.options.Logger.Info().Str("event", "daemon_list_failed").Str("kind", string(kind)).Err(err).Send()
 		return err
 	}
+	rs.ValidatedAt = rs.ValidatedAt.Add(suspended - s.AccountSuspension())
 	validatedAt := s.ValidatedAt(kind)
 	if !rs.ValidatedAt.After(validatedAt) {
 		s.options.Counters.Count("retry.daemon_list_old")
--- /dev/null
+++ b/discovery/suspension.go
@@ -0,0 +1,47 @@
+package discovery
+
+import "time"
+
+// minSuspension is the length from which on a suspension matters. Shorter ones are within the inaccuracy
+// of advertised ages.
+const minSuspension = 20 * time.Millisecond
+
+// AccountSuspension makes the cached records as old as they are after a suspension of this VM, and returns
+// for how long the VM has been suspended in all. It must be called before packets that waited in a
+// socket during the suspension are handled: their verdicts depend on the age of the records.
+func (s *Syncer) AccountSuspension() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.accountSuspensionLocked()
+}
+
+// accountSuspensionLocked implements AccountSuspension. The caller holds s.mu.
+func (s *Syncer) accountSuspensionLocked() time.Duration {
+	if s.options.Suspended == nil {
+		return 0
+	}
+	total := s.options.Suspended()
+	length := total - s.suspended
+	if length < minSuspension {
+		return s.suspended
+	}
+	s.suspended = total
+	for _, kind := range Kinds() {
+		s.kinds[kind].freshness.age(length)
+		notify(s.wake[kind])
+	}
+	// The store may have been unavailable meanwhile.
+	s.breaker.restartAvailability(time.Now())
+	s.options.Counters.Count("suspended")
+	s.options.Logger.Warn().Str("event", "vm_suspended").Dur("for_ms", length).Send()
+	return total
+}
+
+// age makes the cached records older by a duration.
+func (f *freshness) age(d time.Duration) {
+	for _, t := range []*time.Time{&f.validatedAt, &f.listedAt, &f.unvalidatedSince, &f.fresherAdvertisement.ValidatedAt} {
+		if !t.IsZero() {
+			*t = t.Add(-d)
+		}
+	}
+}
--- a/edge/app.go
+++ b/edge/app.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -22,6 +23,7 @@
 	"github.com/fulmarfield/fulmarfield/fleet"
 	"github.com/fulmarfield/fulmarfield/inband"
 	"github.com/fulmarfield/fulmarfield/internal/setting"
+	"github.com/fulmarfield/fulmarfield/internal/suspension"
 	"github.com/fulmarfield/fulmarfield/platform"
 	"github.com/fulmarfield/fulmarfield/store"
 	"github.com/fulmarfield/fulmarfield/telemetry"
@@ -124,6 +126,7 @@
 			func(s store.Collections, c *catalog.Catalog, n *telemetry.Counters) *discovery.Syncer {
 				return discovery.NewSyncer(discovery.Options{
 					Store: s, Catalog: c, Counters: n, Logger: logger, PropagationBound: settings.propagationBound(),
+					Suspended: suspensionMeter(logger),
 				})
 			},
 			newDaemon,
@@ -132,6 +135,22 @@
 	)
 }
 
+// suspensionMeter returns a function that returns for how long this VM has been suspended. If its clocks
+// cannot be read, it returns the last value, and logs the first such error.
+func suspensionMeter(logger zerolog.Logger) func() time.Duration {
+	var last atomic.Int64
+	var logOnce sync.Once
+	return func() time.Duration {
+		total, err := suspension.Total()
+		if err != nil {
+			logOnce.Do(func() { logger.Error().Str("event", eventClockError).Err(err).Send() })
+			return time.Duration(last.Load())
+		}
+		last.Store(int64(total))
+		return total
+	}
+}
+
 // newDaemon opens the sockets and listeners of a daemon and connects its components. It starts none of
 // them.
 func newDaemon(s *Settings, c *catalog.Catalog, recordSyncer *discovery.Syncer, n *telemetry.Counters, output *asyncWriter, logger zerolog.Logger) (*Daemon, error) {
@@ -155,9 +174,10 @@
 	recordSyncer.SetPeers(d.fleet, d.fleet.Gossip)
 	d.loop = &packetLoop{
 		conn: conn, catalog: c, counters: n, verdicts: newVerdictCounters(n), latency: newLatencies(n), output: output, logger: logger, lastPacketAt: &d.lastPacketAt,
-		peers:       d.fleet,
-		lineLimiter: rateLimiter{perSecond: s.LogLines},
-		validatedAt: recordSyncer.UpstreamsValidatedAt,
+		peers:             d.fleet,
+		accountSuspension: recordSyncer.AccountSuspension,
+		lineLimiter:       rateLimiter{perSecond: s.LogLines},
+		validatedAt:       recordSyncer.UpstreamsValidatedAt,
 		steerer: inband.NewSteerer(inband.Options{
 			Zone: s.Zone, Catalog: c, Freshness: recordSyncer, PropagationBound: s.propagationBound(),
 			Random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
--- a/edge/packets.go
+++ b/edge/packets.go
@@ -42,6 +42,8 @@
 	lineLimiter rateLimiter
 	output      *asyncWriter
 	peers       reportPeers
+	// accountSuspension makes the records as old as they are after a suspension of this VM.
+	accountSuspension func() time.Duration
 	// validatedAt returns when the upstreams were last known to be the latest.
 	validatedAt func() time.Time
 	// sendBuffer is reused for all datagrams that are sent.
@@ -119,6 +121,7 @@
 		if err != nil {
 			return fmt.Errorf("read packets: %w", err)
 		}
+		l.accountSuspension()
 		now := time.Now()
 		l.lastPacketAt.set(now)
 		l.recordReports(now)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -85,6 +85,8 @@
 	// tickedAt is the time of the last round, and resumedAt the time at which this VM last resumed
 	// after it was paused.
 	resumedAt, tickedAt time.Time
+	// suspended is for how long this VM had been suspended at the last datagram or round.
+	suspended time.Duration
 }
 
 // New returns a Fleet without other daemons.
@@ -117,9 +119,7 @@
 		isValidated := len(f.options.Syncer.Advertisements()) == len(discovery.Kinds())
 		f.mu.Lock()
 		now := time.Now()
-		if now.Sub(f.tickedAt) > gossipInterval+pauseThreshold {
-			f.resumedAt = now
-		}
+		f.detectPause(now)
 		f.tickedAt = now
 		f.members.expire(now)
 		isAlone := len(f.members.reachable) == 0
@@ -141,6 +141,16 @@
 	}
 }
 
+// detectPause records that this VM resumed if it was paused or suspended since the last round. The caller
+// holds f.mu.
+func (f *Fleet) detectPause(now time.Time) {
+	suspended := f.options.Syncer.AccountSuspension()
+	if now.Sub(f.tickedAt) > gossipInterval+pauseThreshold || suspended-f.suspended > pauseThreshold {
+		f.resumedAt = now
+	}
+	f.suspended = suspended
+}
+
 // Gossip sends the advertisements of this daemon to several other daemons.
 func (f *Fleet) Gossip() {
 	f.mu.Lock()
@@ -248,7 +258,8 @@
 	}
 	from := d.Addr.Addr()
 	f.mu.Lock()
-	wasPaused := now.Sub(f.tickedAt) > gossipInterval+pauseThreshold || now.Sub(f.resumedAt) < pauseThreshold
+	f.detectPause(now)
+	wasPaused := now.Sub(f.resumedAt) < pauseThreshold
 	isNew := f.members.recordContact(from, now)
 	if m.GetIsLeaving() {
 		f.members.remove(from)
--- a/fleet/reports_test.go
+++ b/fleet/reports_test.go
@@ -9,10 +9,14 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/fulmarfield/fulmarfield/api/fulmarfield/v1"
+	"github.com/fulmarfield/fulmarfield/catalog"
+	"github.com/fulmarfield/fulmarfield/discovery"
 	"github.com/fulmarfield/fulmarfield/outlier"
+	"github.com/fulmarfield/fulmarfield/telemetry"
 	"github.com/fulmarfield/fulmarfield/wire"
 	"github.com/fulmarfield/fulmarfield/wire/memnet"
 )
@@ -174,3 +178,31 @@
 		})
 	})
 }
+
+// Guards against datagrams that waited in the socket while this VM was suspended: what they advertise and
+// report is older than they state.
+func TestDatagramsOfSuspensionAreDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		conn, err := memnet.New(nil).Listen(netip.AddrPortFrom(address(0), port))
+		g.Expect(err).NotTo(HaveOccurred())
+		var suspended time.Duration
+		syncer := discovery.NewSyncer(discovery.Options{Store: countingStore{&atomic.Int64{}}, Catalog: catalog.New(time.Now),
+			Counters: telemetry.NewCounters(), Logger: zerolog.Nop(), PropagationBound: bound,
+			Suspended: func() time.Duration { return suspended }})
+		f := New(Options{Conn: conn, Zone: "zone", Syncer: syncer, Counters: telemetry.NewCounters(), Logger: zerolog.Nop(),
+			Seeds: func() []netip.Addr { return nil }})
+		receive := func(upstream uint64) []outlier.Report {
+			raw, err := proto.Marshal(&pb.FleetDatagram{Reports: []*pb.ResponseReport{{Upstream: upstream, Origin: 9, Slow: 1}}})
+			g.Expect(err).NotTo(HaveOccurred())
+			f.handleDatagram(wire.Datagram{Addr: netip.AddrPortFrom(address(1), port), Data: raw}, time.Now())
+			return drain(f)
+		}
+		g.Expect(receive(1)).To(HaveLen(1))
+		suspended = 8 * time.Second
+		g.Expect(receive(2)).To(BeEmpty())
+		g.Expect(f.options.Counters.Snapshot()["drop.fleet_after_pause"]).To(BeEquivalentTo(1))
+		time.Sleep(pauseThreshold)
+		g.Expect(receive(3)).To(HaveLen(1))
+	})
+}
