Eject no healthy upstream where the work of requests varies

Cause: in experiment/signals, whose service times are exponential, 22 % of the time of healthy upstreams was spent ejected (63 daemons, 150 upstreams, no fault), 14 % with 6 daemons, and 38 % with 3 % loss. One request in 16 takes four times the median there. And reports tell of slow responses only: a large fleet has three reports on a healthy upstream within 2 s often, while daemons that decide alone ejected none.

By reports, an upstream is an outlier with 3 slow responses and 10 more for each that an upstream has by chance, derived from the share of upstreams with slow responses. A daemon's own responses decide by their own share, and probes fail by the same shares.

Silent upstreams are found a little later, which is the price of fewer false alarms.

--- a/experiment/signals/measure.go
+++ b/experiment/signals/measure.go
@@ -27,6 +27,14 @@
 	// Loss is the share of packets that the links to upstreams lose in each direction.
 	Loss      float64
 	Condition Condition
+	// Slots is the number of requests that an upstream processes at once, while others wait. 0 means
+	// that none waits.
+	Slots int
+	// AcknowledgesEarly makes upstreams acknowledge a request before the caller retransmits it, however
+	// long they take to answer.
+	AcknowledgesEarly bool
+	// SlowFactor and MuteShare replace slowFactor and hangShare if they are not 0.
+	SlowFactor, MuteShare float64
 }
 
 const (
--- a/inband/responses.go
+++ b/inband/responses.go
@@ -70,12 +70,20 @@
 func (r *responses) recordResponse(f *flow, service netip.AddrPort, d time.Duration, now time.Time) {
 	baseline := &r.route(service).baseline
 	slowAfter, isKnown := baseline.SlowAfter()
-	baseline.Add(d)
+	r.addToBaseline(baseline, f, d, now)
 	if isKnown && !f.upstream.IsCold(now) {
 		r.detector.RecordResponse(f.upstream.Key, d > slowAfter, now)
 	}
 }
 
+// addToBaseline adds a response time to the usual ones of a route, unless the flow's upstream is an outlier:
+// its response times would become usual while it is slow.
+func (r *responses) addToBaseline(b *outlier.Baseline, f *flow, d time.Duration, now time.Time) {
+	if r.detector.State(f.upstream.Key, now) == outlier.Accepted {
+		b.Add(d)
+	}
+}
+
 // findOverdue records the requests that have waited for longer than a slow response takes.
 func (r *responses) findOverdue(flows map[wire.FlowKey]*flow, now time.Time) {
 	for _, route := range r.byRoute {
@@ -89,7 +97,7 @@
 				continue
 			}
 			f.requestedAt = time.Time{}
-			route.baseline.Add(overdueAfter)
+			r.addToBaseline(&route.baseline, f, overdueAfter, now)
 			if isKnown && !f.upstream.IsCold(now) {
 				r.detector.RecordResponse(f.upstream.Key, true, now)
 			}
--- a/inband/steerer.go
+++ b/inband/steerer.go
@@ -398,7 +398,7 @@
 		}
 	}
 	s.tracker.Retain(func(key uint64) bool { return s.flowsByUpstream[key] > 0 || s.tracker.IsSuspect(key, now) })
-	s.detector.Retain(func(key uint64) bool { return snapshot.Upstream(key) != nil }, now)
+	s.detector.Retain(func(key uint64) bool { return snapshot.Upstream(key) != nil }, snapshot.UpstreamCount(), now)
 	s.responses.retain(snapshot)
 	for address := range s.withoutUpstreamSince {
 		if snapshot.Route(address) == nil {
--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -14,6 +15,12 @@
 	// minSlowOrigins is the number of daemons that must have observed them if this daemon has not
 	// observed minSlowResponses itself, so that one mistaken daemon ejects no upstream.
 	minSlowOrigins = 2
+	// noiseWeight is how many more slow responses are required for each slow response that an upstream
+	// has by chance. Reports tell of slow responses only, so that their share is not known.
+	noiseWeight = 10.0
+	// maxNoisyShare bounds the share of upstreams with slow responses from which the number by chance
+	// is derived.
+	maxNoisyShare = 0.95
 	// minSlowShare is the least share of slow responses of an outlier. The share must also be
 	// minShareFactor times as large as the share of all upstreams, so that a burst of traffic, in
 	// which several upstreams have queues, ejects none of them. A share of certainSlowShare is
@@ -42,7 +49,7 @@
 	reportInterval = 250 * time.Millisecond
 	// sufficientReports is the number of daemons whose reports of slow responses decide on an upstream,
 	// so that further reports would only be traffic.
-	sufficientReports = 4
+	sufficientReports = 8
 	// maxReportsPerUpstream and maxUpstreams bound the memory that reports can take up.
 	maxReportsPerUpstream = 64
 	maxUpstreams          = 4096
@@ -95,10 +102,13 @@
 	daemons func() int
 	random  *rand.Rand
 	// all counts the responses of all upstreams that this daemon has observed.
-	all     responseCounts
-	serial  uint32
-	reports []Report
-	changes []Change
+	all responseCounts
+	// noisyShare is the share of upstreams with a slow response within evidenceLifetime, as of the last
+	// call of Retain.
+	noisyShare float64
+	serial     uint32
+	reports    []Report
+	changes    []Change
 }
 
 // NewDetector returns a Detector that accepts all upstreams. daemons returns the number of daemons, as
@@ -221,14 +231,14 @@
 	t := s.totals(now)
 	switch s.state {
 	case Accepted:
-		if t.isOutlier(d.requiredShare(now)) {
+		if d.isOutlier(t, now) {
 			d.eject(upstream, s, t, now)
 		}
 	case Ejected:
 		d.evaluateEjected(upstream, s, t, now)
 	case OnProbation:
 		switch {
-		case t.hasFailedProbes():
+		case d.hasFailedProbes(t, now):
 			d.eject(upstream, s, t, now)
 		case t.slow == 0 && t.fast >= fastUntilAccepted || now.Sub(s.since) > maxProbation:
 			d.change(upstream, s, Accepted, t, now)
@@ -242,7 +252,7 @@
 	if now.Sub(s.since) < s.ejection {
 		return
 	}
-	if t.isOutlier(d.requiredShare(now)) {
+	if d.isOutlier(t, now) {
 		d.eject(upstream, s, t, now)
 		return
 	}
@@ -266,23 +276,26 @@
 }
 
 // share returns the share of slow responses, or 0 if there is no response.
-func (t totals) share() float64 { return float64(t.slow) / float64(max(t.slow+t.fast, 1)) }
+func share(slow, fast int) float64 { return float64(slow) / float64(max(slow+fast, 1)) }
 
-// isOutlier reports whether an accepted upstream has to be ejected, given the least share of slow
-// responses of an outlier.
-func (t totals) isOutlier(requiredShare float64) bool {
-	if t.slow < minSlowResponses || t.share() < requiredShare {
-		return false
-	}
-	if t.ownSlow >= minSlowResponses {
+// isOutlier reports whether an accepted upstream has to be ejected, by the responses that this daemon has
+// observed or by those of all daemons.
+func (d *Detector) isOutlier(t totals, now time.Time) bool {
+	required := d.requiredShare(now)
+	if t.ownSlow >= minSlowResponses && share(t.ownSlow, t.ownFast) >= required {
 		return true
 	}
-	return t.slowOrigins >= minSlowOrigins && !t.ownEvidenceDisagrees()
+	return t.slow >= d.requiredReports() && t.slowOrigins >= minSlowOrigins &&
+		share(t.slow, t.fast) >= required && !t.ownEvidenceDisagrees()
 }
 
 // hasFailedProbes reports whether an upstream on probation has to be ejected again.
-func (t totals) hasFailedProbes() bool {
-	return t.ownSlow > 0 || t.slowOrigins >= minSlowOrigins && !t.ownEvidenceDisagrees()
+func (d *Detector) hasFailedProbes(t totals, now time.Time) bool {
+	if share(t.slow, t.fast) < d.requiredShare(now) {
+		return false
+	}
+	return t.ownSlow > 0 ||
+		t.slowOrigins >= minSlowOrigins && t.slow >= d.requiredReports()-1 && !t.ownEvidenceDisagrees()
 }
 
 // ownEvidenceDisagrees reports whether this daemon has seen enough responses to reject the reports of
@@ -307,12 +320,26 @@
 }
 
 // Retain drops the state of upstreams for which isRegistered returns false, and of those that were
-// accepted long ago and have not responded lately.
-func (d *Detector) Retain(isRegistered func(upstream uint64) bool, now time.Time) {
+// accepted long ago and have not responded lately. registered is the number of registered upstreams.
+func (d *Detector) Retain(isRegistered func(upstream uint64) bool, registered int, now time.Time) {
+	noisy := 0
 	for upstream, s := range d.upstreams {
+		t := s.totals(now)
+		if t.slow > 0 {
+			noisy++
+		}
 		isOld := s.state == Accepted && now.Sub(s.since) > maxEjection
-		if !isRegistered(upstream) || isOld && s.totals(now) == (totals{}) {
+		if !isRegistered(upstream) || isOld && t == (totals{}) {
 			delete(d.upstreams, upstream)
 		}
 	}
+	d.noisyShare = float64(noisy) / float64(max(registered, noisy, 1))
+}
+
+// requiredReports returns the number of slow responses, most of them reported by others, that make an
+// upstream an outlier. If slow responses are spread over many upstreams, as where the work of requests
+// varies or the whole service is overloaded, an upstream has several by chance.
+func (d *Detector) requiredReports() int {
+	byChance := -math.Log(1 - min(d.noisyShare, maxNoisyShare))
+	return minSlowResponses + int(noiseWeight*byChance)
 }
