Do not take a pause of this daemon for slow upstreams

Cause: a daemon that was stopped for seconds with requests in progress read their responses afterwards, or found the requests overdue, and took the time of its own pause for their response times.

TestPauseOfThisDaemonIsNoSlowResponse fails without it.

--- a/edge/app.go
+++ b/edge/app.go
@@ -174,7 +174,7 @@
 	recordSyncer.SetPeers(d.fleet, d.fleet.Gossip)
 	d.loop = &packetLoop{
 		conn: conn, catalog: c, counters: n, verdicts: newVerdictCounters(n), latency: newLatencies(n), output: output, logger: logger, lastPacketAt: &d.lastPacketAt,
-		peers:             d.fleet,
+		peers: d.fleet, pauses: newPauseDetector(time.Now()),
 		accountSuspension: recordSyncer.AccountSuspension,
 		lineLimiter:       rateLimiter{perSecond: s.LogLines},
 		validatedAt:       recordSyncer.UpstreamsValidatedAt,
@@ -229,6 +229,7 @@
 					d.fatalErrors <- fmt.Errorf("gossip with other daemons: %w", err)
 				}
 			}()
+			go d.loop.pauses.run(ctx)
 			go func() {
 				if err := d.loop.run(ctx); err != nil {
 					d.fatalErrors <- err
--- a/edge/packets.go
+++ b/edge/packets.go
@@ -42,6 +42,7 @@
 	lineLimiter rateLimiter
 	output      *asyncWriter
 	peers       reportPeers
+	pauses      *pauseDetector
 	// accountSuspension makes the records as old as they are after a suspension of this VM.
 	accountSuspension func() time.Duration
 	// validatedAt returns when the upstreams were last known to be the latest.
@@ -124,6 +125,7 @@
 		l.accountSuspension()
 		now := time.Now()
 		l.lastPacketAt.set(now)
+		l.steerer.RecordResumption(l.pauses.lastResumption(now))
 		l.recordReports(now)
 		for _, d := range batch[:n] {
 			l.handlePacket(d.Data, now)
--- a/inband/responses.go
+++ b/inband/responses.go
@@ -33,6 +33,9 @@
 type responses struct {
 	byRoute  map[netip.AddrPort]*routeResponses
 	detector *outlier.Detector
+	// resumedAt is when this process last resumed after a pause. The response times of requests that
+	// began until then include the pause.
+	resumedAt time.Time
 }
 
 func newResponses(d *outlier.Detector) *responses {
@@ -52,7 +55,7 @@
 // recordPacket updates the response times with the evidence of a packet of the flow. wasBusy is whether
 // a request was in progress before the packet.
 func (r *responses) recordPacket(f *flow, p platform.Packet, observed event, wasBusy bool, now time.Time) {
-	if wasBusy && observed == eventProgress && !f.requestedAt.IsZero() {
+	if wasBusy && observed == eventProgress && f.requestedAt.After(r.resumedAt) {
 		r.recordResponse(f, p.Flow.Service(), now.Sub(f.requestedAt), now)
 	}
 	if observed == eventProgress || f.retransmissions > 0 {
@@ -97,6 +100,9 @@
 				continue
 			}
 			f.requestedAt = time.Time{}
+			if !request.requestedAt.After(r.resumedAt) {
+				continue
+			}
 			r.addToBaseline(&route.baseline, f, overdueAfter, now)
 			if isKnown && !f.upstream.IsCold(now) {
 				r.detector.RecordResponse(f.upstream.Key, true, now)
--- a/inband/responses_test.go
+++ b/inband/responses_test.go
@@ -191,6 +191,32 @@
 	h.Expect(h.ejected()).To(BeEmpty())
 }
 
+// Guards against a daemon that takes its own pause for slowness of all upstreams, ejects them, and reports
+// them to others: requests were in progress when it was paused, and their responses waited in the socket.
+func TestPauseOfThisDaemonIsNoSlowResponse(t *testing.T) {
+	for _, responds := range []bool{true, false} {
+		h := newServiceHarness(t)
+		var flows []platform.Packet
+		for range 40 {
+			p, _ := h.open(safeAddress)
+			h.decide(withData(p))
+			flows = append(flows, p)
+		}
+		h.advance(8 * time.Second)
+		h.steerer.RecordResumption(h.now)
+		for _, p := range flows {
+			if responds {
+				p.Sequence, p.Acknowledged = p.Sequence+200, p.Acknowledged+2000
+			}
+			h.decide(p)
+		}
+		h.advance(100 * time.Millisecond)
+		h.exchange(20, "", 0)
+		h.Expect(h.ejected()).To(BeEmpty())
+		h.Expect(h.steerer.TakeReports()).To(BeEmpty())
+	}
+}
+
 // Guards against reports on upstreams that are not registered, which would take up memory.
 func TestReportOnUnknownUpstreamIsIgnored(t *testing.T) {
 	h := newServiceHarness(t)
--- a/inband/steerer.go
+++ b/inband/steerer.go
@@ -133,6 +133,9 @@
 	}
 }
 
+// RecordResumption records when this process last resumed after a pause.
+func (s *Steerer) RecordResumption(at time.Time) { s.responses.resumedAt = at }
+
 // TakeOutlierChanges returns the changes of upstreams' outlier states since the last call.
 func (s *Steerer) TakeOutlierChanges() []outlier.Change { return s.detector.TakeChanges() }
 
