--- a/fleet/reports_test.go
+++ b/fleet/reports_test.go
@@ -165,33 +165,35 @@
 	f.Add(valid)
 	f.Add([]byte{0xff, 0x00})
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		synctest.Test(t, func(t *testing.T) {
-			var lists atomic.Int64
-			fleet := startDaemons(t, memnet.New(nil), 1, &lists)[0]
-			now := time.Now()
-			fleet.handleDatagram(wire.Datagram{Addr: netip.AddrPortFrom(address(1), port), Data: raw}, now)
-			for _, r := range drain(fleet) {
-				if now.Sub(r.ObservedAt) > maxReportAge || r.Slow > maxReportedCount || r.Fast > maxReportedCount {
-					t.Fatalf("report %+v", r)
-				}
+		fleet := newIdleFleet(t, nil)
+		now := time.Now()
+		fleet.handleDatagram(wire.Datagram{Addr: netip.AddrPortFrom(address(1), port), Data: raw}, now)
+		for _, r := range drain(fleet) {
+			if now.Sub(r.ObservedAt) > maxReportAge || r.Slow > maxReportedCount || r.Fast > maxReportedCount {
+				t.Fatalf("report %+v", r)
 			}
-		})
+		}
 	})
 }
 
+// newIdleFleet returns a Fleet of one daemon that is not running, on a VM that has been suspended for as long
+// as suspended returns; nil means never.
+func newIdleFleet(t *testing.T, suspended func() time.Duration) *Fleet {
+	conn, err := memnet.New(nil).Listen(netip.AddrPortFrom(address(0), port))
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	syncer := discovery.NewSyncer(discovery.Options{Store: countingStore{&atomic.Int64{}}, Catalog: catalog.New(time.Now),
+		Counters: telemetry.NewCounters(), Logger: zerolog.Nop(), PropagationBound: bound, Suspended: suspended})
+	return New(Options{Conn: conn, Zone: "zone", Syncer: syncer, Counters: telemetry.NewCounters(), Logger: zerolog.Nop(),
+		Seeds: func() []netip.Addr { return nil }})
+}
+
 // Guards against datagrams that waited in the socket while this VM was suspended: what they advertise and
 // report is older than they state.
 func TestDatagramsOfSuspensionAreDropped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		conn, err := memnet.New(nil).Listen(netip.AddrPortFrom(address(0), port))
-		g.Expect(err).NotTo(HaveOccurred())
 		var suspended time.Duration
-		syncer := discovery.NewSyncer(discovery.Options{Store: countingStore{&atomic.Int64{}}, Catalog: catalog.New(time.Now),
-			Counters: telemetry.NewCounters(), Logger: zerolog.Nop(), PropagationBound: bound,
-			Suspended: func() time.Duration { return suspended }})
-		f := New(Options{Conn: conn, Zone: "zone", Syncer: syncer, Counters: telemetry.NewCounters(), Logger: zerolog.Nop(),
-			Seeds: func() []netip.Addr { return nil }})
+		f := newIdleFleet(t, func() time.Duration { return suspended })
 		receive := func(upstream uint64) []outlier.Report {
 			raw, err := proto.Marshal(&pb.FleetDatagram{Reports: []*pb.ResponseReport{{Upstream: upstream, Origin: 9, Slow: 1}}})
 			g.Expect(err).NotTo(HaveOccurred())
