Bound the sources whose reports a daemon remembers

Reports with forged origins took up memory for 10 s each, without a limit. TestReportSourcesAreBounded fails without the limit.

--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -33,6 +33,10 @@
 	serialRetention = 10 * time.Second
 	// maxReportedCount bounds the weight of one report.
 	maxReportedCount = 100
+	// maxSources bounds the memory that forged origins can take up, and sourceSweepInterval how often
+	// those without recent reports are dropped.
+	maxSources          = 16_384
+	sourceSweepInterval = time.Second
 	// udpOverheadBytes is the length of the IP and UDP headers of a datagram.
 	udpOverheadBytes = 28
 )
@@ -60,6 +64,8 @@
 	// queue holds the reports that were not sent yet, oldest first.
 	queue []outlier.Report
 	last  map[reportSource]lastReport
+	// sweptAt is when sources without recent reports were dropped last.
+	sweptAt time.Time
 }
 
 func newReportRelay() *reportRelay {
@@ -92,7 +98,8 @@
 	return batch
 }
 
-// isNew reports whether a report is later than all earlier ones from its source, and records it.
+// isNew reports whether a report is later than all earlier ones from its source, and records it. It returns
+// false for a new source if there are too many.
 func (r *reportRelay) isNew(report outlier.Report, now time.Time) bool {
 	source := reportSource{report.Origin, report.Upstream}
 	r.mu.Lock()
@@ -101,6 +108,9 @@
 	if known && now.Sub(last.receivedAt) < serialRetention && int32(report.Serial-last.serial) <= 0 {
 		return false
 	}
+	if !known && len(r.last) >= maxSources {
+		return false
+	}
 	r.last[source] = lastReport{report.Serial, now}
 	return true
 }
@@ -109,6 +119,10 @@
 func (r *reportRelay) expire(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if now.Sub(r.sweptAt) < sourceSweepInterval {
+		return
+	}
+	r.sweptAt = now
 	for source, last := range r.last {
 		if now.Sub(last.receivedAt) > serialRetention {
 			delete(r.last, source)
--- a/fleet/reports_test.go
+++ b/fleet/reports_test.go
@@ -155,6 +155,22 @@
 	})
 }
 
+// Guards against memory that reports with forged origins take up, and against sources that are kept for ever.
+func TestReportSourcesAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	relay, now := newReportRelay(), time.Now()
+	accepted := 0
+	for i := range uint64(maxSources + 100) {
+		if relay.isNew(outlier.Report{Upstream: i, Origin: address(1)}, now) {
+			accepted++
+		}
+	}
+	g.Expect(accepted).To(Equal(maxSources))
+	now = now.Add(serialRetention + time.Second)
+	relay.expire(now)
+	g.Expect(relay.isNew(outlier.Report{Upstream: maxSources + 1, Origin: address(1)}, now)).To(BeTrue())
+}
+
 // FuzzDatagram feeds arbitrary datagrams to a daemon, which must neither fail nor pass on a report that is
 // expired or heavier than allowed.
 func FuzzDatagram(f *testing.F) {
