--- a/discovery/list_test.go
+++ b/discovery/list_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -93,14 +94,14 @@
 }
 
 // refusingStore lists no records and refuses each watch at once.
-type refusingStore struct{ watches int }
+type refusingStore struct{ watches atomic.Int64 }
 
 func (s *refusingStore) ListPage(context.Context, store.Kind, string, store.Consistency) (store.Page, error) {
 	return store.Page{AsOf: 5}, nil
 }
 
 func (s *refusingStore) WatchKind(context.Context, store.Kind, store.Version, time.Duration) (store.Changes, error) {
-	s.watches++
+	s.watches.Add(1)
 	return store.Changes{}, store.ErrUnavailable
 }
 
@@ -125,6 +126,6 @@
 		defer cancel()
 		_ = syncer.Run(ctx)
 		// Two kinds are watched. Pauses of 2.56 s are halved at most by the jitter.
-		NewWithT(t).Expect(s.watches).To(BeNumerically("<", 2*20*1000/1280+2*4))
+		NewWithT(t).Expect(s.watches.Load()).To(BeNumerically("<", 2*20*1000/1280+2*4))
 	})
 }
--- a/discovery/suspension_test.go
+++ b/discovery/suspension_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,15 +19,15 @@
 
 // slowStore lists no records, after a delay, and its watches end with the context.
 type slowStore struct {
-	lists int
-	// during is called while a list is under way.
-	during func()
+	lists atomic.Int64
+	// during, if it is set, is called while a list is under way.
+	during atomic.Pointer[func()]
 }
 
 func (s *slowStore) ListPage(context.Context, store.Kind, string, store.Consistency) (store.Page, error) {
-	s.lists++
-	if s.during != nil {
-		s.during()
+	s.lists.Add(1)
+	if during := s.during.Load(); during != nil {
+		(*during)()
 	}
 	return store.Page{AsOf: 5}, nil
 }
@@ -35,10 +37,10 @@
 	return store.Changes{}, ctx.Err()
 }
 
-// startSuspendable runs a Syncer whose VM has been suspended for as long as *suspended says.
-func startSuspendable(t *testing.T, s *slowStore, suspended *time.Duration) *Syncer {
+// startSuspendable runs a Syncer whose VM has been suspended for as many nanoseconds as suspended holds.
+func startSuspendable(t *testing.T, s *slowStore, suspended *atomic.Int64) *Syncer {
 	syncer := NewSyncer(Options{Store: s, Catalog: catalog.New(time.Now), Counters: telemetry.NewCounters(),
-		Logger: zerolog.Nop(), PropagationBound: 3 * time.Second, Suspended: func() time.Duration { return *suspended }})
+		Logger: zerolog.Nop(), PropagationBound: 3 * time.Second, Suspended: func() time.Duration { return time.Duration(suspended.Load()) }})
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	go func() { _ = syncer.Run(ctx) }()
@@ -51,20 +53,24 @@
 func TestSuspensionAgesRecords(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		var suspended time.Duration
+		var suspended atomic.Int64
 		s := &slowStore{}
 		syncer := startSuspendable(t, s, &suspended)
 		g.Expect(time.Since(syncer.ConfigValidatedAt())).To(BeNumerically("<", time.Second))
-		listed := s.lists
-		suspended = 10 * time.Second
+		listed := s.lists.Load()
+		release := make(chan struct{})
+		wait := func() { <-release }
+		s.during.Store(&wait)
+		suspended.Store(int64(10 * time.Second))
 		syncer.AccountSuspension()
 		g.Expect(time.Since(syncer.ConfigValidatedAt())).To(BeNumerically(">=", 10*time.Second))
 		for _, ad := range syncer.Advertisements() {
 			g.Expect(time.Since(ad.ValidatedAt)).To(BeNumerically(">=", 10*time.Second))
 		}
 		g.Expect(syncer.UpstreamsListedSince(time.Now().Add(-5 * time.Second))).To(BeFalse())
+		close(release)
 		synctest.Wait()
-		g.Expect(s.lists).To(BeNumerically(">", listed), "the records are read again at once")
+		g.Expect(s.lists.Load()).To(BeNumerically(">", listed), "the records are read again at once")
 		g.Expect(time.Since(syncer.ConfigValidatedAt())).To(BeNumerically("<", time.Second))
 	})
 }
@@ -74,21 +80,20 @@
 func TestSuspensionDuringList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		var suspended time.Duration
+		var suspended atomic.Int64
 		s := &slowStore{}
 		syncer := startSuspendable(t, s, &suspended)
+		var once sync.Once
+		suspend := func() { once.Do(func() { suspended.Add(int64(10 * time.Second)) }) }
+		s.during.Store(&suspend)
 		syncer.mu.Lock()
 		syncer.requestListLocked(platform.KindUpstreams)
 		syncer.mu.Unlock()
-		s.during = func() {
-			s.during = nil
-			suspended += 10 * time.Second
-		}
 		synctest.Wait()
-		g.Expect(s.during).To(BeNil())
+		g.Expect(suspended.Load()).NotTo(BeZero())
 		g.Expect(time.Since(syncer.kinds[platform.KindUpstreams].freshness.listedAt)).To(BeNumerically("<", time.Second),
 			"it is listed again")
-		g.Expect(s.lists).To(BeNumerically(">=", 4))
+		g.Expect(s.lists.Load()).To(BeNumerically(">=", 4))
 	})
 }
 
@@ -96,13 +101,13 @@
 func TestShortSuspensionIsIgnored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		var suspended time.Duration
+		var suspended atomic.Int64
 		s := &slowStore{}
 		syncer := startSuspendable(t, s, &suspended)
-		listed, validatedAt := s.lists, syncer.ConfigValidatedAt()
-		suspended = 5 * time.Millisecond
+		listed, validatedAt := s.lists.Load(), syncer.ConfigValidatedAt()
+		suspended.Store(int64(5 * time.Millisecond))
 		g.Expect(syncer.AccountSuspension()).To(BeZero())
 		g.Expect(syncer.ConfigValidatedAt()).To(Equal(validatedAt))
-		g.Expect(s.lists).To(Equal(listed))
+		g.Expect(s.lists.Load()).To(Equal(listed))
 	})
 }
