Hold no lock while fleet and syncer call one another

Cause: a daemon could stop for good. On this machine TestReportsKeepToTheirBudget and TestListsDoNotGrowWithTheFleet hung in the first run each, with the two locks in the stacks. Ruled out: a slow machine (the other tests of the package took 0.1 to 34 s in the same run), the timers of the race detector.

Now neither side holds its lock during a call of the other.

--- a/discovery/advertisements.go
+++ b/discovery/advertisements.go
@@ -14,6 +14,7 @@
 // HandleAdvertisement evaluates an advertisement of another daemon. It reports whether the cached
 // records became fresher by so much that the caller should notify other daemons.
 func (s *Syncer) HandleAdvertisement(ad Advertisement) bool {
+	daemons := s.daemonCount()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.accountSuspensionLocked()
@@ -33,7 +34,7 @@
 		return false
 	}
 	k.recordCache.purgeTombstones(k.freshness.validatedAt)
-	k.jitter = jitter(rand.Float64(), s.daemonCount())
+	k.jitter = jitter(rand.Float64(), daemons)
 	return true
 }
 
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -100,6 +100,7 @@
 	// advanced wakes the watch of a kind when the version of its cached records has increased.
 	advanced map[store.Kind]chan struct{}
 
+	// mu is not held during calls of peers, whose lock may be held by a caller of the Syncer.
 	mu    sync.Mutex
 	kinds map[store.Kind]*kindState
 	// suspended is how much of Options.Suspended the ages of the cached records include.
--- a/discovery/list_test.go
+++ b/discovery/list_test.go
@@ -129,3 +129,31 @@
 		NewWithT(t).Expect(s.watches.Load()).To(BeNumerically("<", 2*20*1000/1280+2*4))
 	})
 }
+
+// lockCheckingPeers fails a test if they are called while the Syncer holds its lock.
+type lockCheckingPeers struct {
+	manyPeers
+	syncer *Syncer
+	g      *WithT
+}
+
+func (p lockCheckingPeers) DaemonCount() int {
+	p.g.Expect(p.syncer.mu.TryLock()).To(BeTrue())
+	p.syncer.mu.Unlock()
+	return p.manyPeers.DaemonCount()
+}
+
+// Guards against a daemon that stops for good: the syncer calls the fleet with its lock held while the fleet
+// calls the syncer with its own.
+func TestPeersAreCalledWithoutLock(t *testing.T) {
+	g := NewWithT(t)
+	syncer := NewSyncer(Options{Store: &refusingStore{}, Catalog: catalog.New(time.Now), Counters: telemetry.NewCounters(),
+		Logger: zerolog.Nop(), PropagationBound: 6 * time.Second})
+	syncer.SetPeers(lockCheckingPeers{syncer: syncer, g: g}, nil)
+	kind := Kinds()[0]
+	g.Expect(syncer.refresh(t.Context(), kind, causeRequested)).To(Succeed())
+	validatedAt := syncer.ValidatedAt(kind)
+	ad := syncer.Advertisements()[0]
+	ad.ValidatedAt = validatedAt.Add(time.Second)
+	g.Expect(syncer.HandleAdvertisement(ad)).To(BeTrue())
+}
--- a/discovery/revalidate.go
+++ b/discovery/revalidate.go
@@ -205,6 +205,7 @@
 
 // applyRecordSet applies records that were the latest at a time, and notifies the other daemons.
 func (s *Syncer) applyRecordSet(kind store.Kind, rs RecordSet, fromStore bool) {
+	daemons := s.daemonCount()
 	s.mu.Lock()
 	k := s.kinds[kind]
 	isFirst := !k.isLoaded()
@@ -212,7 +213,7 @@
 	if fromStore {
 		k.freshness.listedAt = rs.ValidatedAt
 	}
-	k.jitter = jitter(rand.Float64(), s.daemonCount())
+	k.jitter = jitter(rand.Float64(), daemons)
 	s.apply(kind, k.recordCache.merge(rs, time.Now()), isFirst, fromStore)
 	k.recordCache.purgeTombstones(rs.ValidatedAt)
 	s.mu.Unlock()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -80,6 +80,7 @@
 	// isLeaving is set when this daemon is shutting down.
 	isLeaving atomic.Bool
 
+	// mu is not held during calls of the Syncer, which has a lock of its own.
 	mu      sync.Mutex
 	members *members
 	// tickedAt is the time of the last round, and resumedAt the time at which this VM last resumed
@@ -117,9 +118,10 @@
 func (f *Fleet) gossipLoop(ctx context.Context) error {
 	for round := 0; ; round++ {
 		isValidated := len(f.options.Syncer.Advertisements()) == len(discovery.Kinds())
+		suspended := f.options.Syncer.AccountSuspension()
 		f.mu.Lock()
 		now := time.Now()
-		f.detectPause(now)
+		f.detectPause(now, suspended)
 		f.tickedAt = now
 		f.members.expire(now)
 		isAlone := len(f.members.reachable) == 0
@@ -141,10 +143,9 @@
 	}
 }
 
-// detectPause records that this VM resumed if it was paused or suspended since the last round. The caller
-// holds f.mu.
-func (f *Fleet) detectPause(now time.Time) {
-	suspended := f.options.Syncer.AccountSuspension()
+// detectPause records that this VM resumed if it was paused or suspended since the last round. suspended is
+// for how long it has been suspended in all. The caller holds f.mu.
+func (f *Fleet) detectPause(now time.Time, suspended time.Duration) {
 	if now.Sub(f.tickedAt) > gossipInterval+pauseThreshold || suspended-f.suspended > pauseThreshold {
 		f.resumedAt = now
 	}
@@ -257,8 +258,9 @@
 		return
 	}
 	from := d.Addr.Addr()
+	suspended := f.options.Syncer.AccountSuspension()
 	f.mu.Lock()
-	f.detectPause(now)
+	f.detectPause(now, suspended)
 	wasPaused := now.Sub(f.resumedAt) < pauseThreshold
 	isNew := f.members.recordContact(from, now)
 	if m.GetIsLeaving() {
--- a/fleet/reports_test.go
+++ b/fleet/reports_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"sync/atomic"
@@ -224,3 +225,28 @@
 		g.Expect(receive(3)).To(HaveLen(1))
 	})
 }
+
+// Guards against a daemon that stops for good: the fleet calls the syncer with its lock held while the syncer
+// calls the fleet with its own.
+func TestSyncerIsCalledWithoutLock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var f *Fleet
+		calls := 0
+		f = newIdleFleet(t, func() time.Duration {
+			if f != nil {
+				calls++
+				g.Expect(f.mu.TryLock()).To(BeTrue())
+				f.mu.Unlock()
+			}
+			return 0
+		})
+		raw, err := proto.Marshal(&pb.FleetDatagram{Zone: "zone", Confirmations: []*pb.Confirmation{{Kind: string(discovery.Kinds()[0])}}})
+		g.Expect(err).NotTo(HaveOccurred())
+		f.handleDatagram(wire.Datagram{Addr: netip.AddrPortFrom(address(1), port), Data: raw}, time.Now())
+		ctx, cancel := context.WithTimeout(t.Context(), 3*gossipInterval)
+		defer cancel()
+		_ = f.gossipLoop(ctx)
+		g.Expect(calls).To(BeNumerically(">", 3))
+	})
+}
