Wake the sender of reports only when there are reports

relayReports woke 20 times a second on each daemon, with or without reports. A channel wakes it now; sources without recent reports are dropped in the rounds of the gossip.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -133,6 +133,7 @@
 			to, interval = f.members.pick(gossipFanout), joinInterval
 		}
 		f.mu.Unlock()
+		f.reports.expire(now)
 		if !isAlone && round%roundsPerSeedContact == 0 {
 			to = append(to, f.options.Seeds()...)
 		}
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -33,10 +33,8 @@
 	serialRetention = 10 * time.Second
 	// maxReportedCount bounds the weight of one report.
 	maxReportedCount = 100
-	// maxSources bounds the memory that forged origins can take up, and sourceSweepInterval how often
-	// those without recent reports are dropped.
-	maxSources          = 16_384
-	sourceSweepInterval = time.Second
+	// maxSources bounds the memory that forged origins can take up.
+	maxSources = 16_384
 	// udpOverheadBytes is the length of the IP and UDP headers of a datagram.
 	udpOverheadBytes = 28
 )
@@ -58,20 +56,20 @@
 type reportRelay struct {
 	// received are the reports of other daemons that this daemon has not read yet.
 	received chan outlier.Report
-	budget   *rate.Limiter
+	// queued wakes the sender when there are reports in the queue.
+	queued chan struct{}
+	budget *rate.Limiter
 
 	mu sync.Mutex
 	// queue holds the reports that were not sent yet, oldest first.
 	queue []outlier.Report
 	last  map[reportSource]lastReport
-	// sweptAt is when sources without recent reports were dropped last.
-	sweptAt time.Time
 }
 
 func newReportRelay() *reportRelay {
 	return &reportRelay{
-		received: make(chan outlier.Report, maxQueuedReports), last: map[reportSource]lastReport{},
-		budget: rate.NewLimiter(reportBytesPerSecond, reportBurstBytes),
+		received: make(chan outlier.Report, maxQueuedReports), queued: make(chan struct{}, 1),
+		last: map[reportSource]lastReport{}, budget: rate.NewLimiter(reportBytesPerSecond, reportBurstBytes),
 	}
 }
 
@@ -82,9 +80,21 @@
 	r.queue = append(r.queue, reports...)
 	dropped := max(len(r.queue)-maxQueuedReports, 0)
 	r.queue = r.queue[dropped:]
+	r.wakeLocked()
 	return dropped
 }
 
+// wakeLocked wakes the sender if there are reports in the queue. The caller holds r.mu.
+func (r *reportRelay) wakeLocked() {
+	if len(r.queue) == 0 {
+		return
+	}
+	select {
+	case r.queued <- struct{}{}:
+	default: // The sender will wake already.
+	}
+}
+
 // dequeue removes the reports that the next datagram carries. Of a long queue it takes the latest ones.
 func (r *reportRelay) dequeue(now time.Time) []outlier.Report {
 	r.mu.Lock()
@@ -95,6 +105,7 @@
 	first := max(len(r.queue)-maxReportsPerDatagram, 0)
 	batch := r.queue[first:]
 	r.queue = r.queue[:first:first]
+	r.wakeLocked()
 	return batch
 }
 
@@ -119,10 +130,6 @@
 func (r *reportRelay) expire(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if now.Sub(r.sweptAt) < sourceSweepInterval {
-		return
-	}
-	r.sweptAt = now
 	for source, last := range r.last {
 		if now.Sub(last.receivedAt) > serialRetention {
 			delete(r.last, source)
@@ -147,11 +154,15 @@
 // relayReports sends the queued reports until the context is cancelled.
 func (f *Fleet) relayReports(ctx context.Context) error {
 	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-f.reports.queued:
+		}
 		if err := wait.For(ctx, reportBatchInterval); err != nil {
 			return err
 		}
 		now := time.Now()
-		f.reports.expire(now)
 		if batch := f.reports.dequeue(now); len(batch) > 0 {
 			f.sendReports(batch, now)
 		}
