Take a suspension of the VM for a pause in daemons that own flows

Cause: membership detects a pause by the monotonic clock, which stands still while a VM is suspended. A daemon that resumed went on as the holder of partitions and slots that other daemons had taken over, and handled the packets that had queued.

Membership now adds the time of the suspension to each gap, in Paused before a packet is handled and in the next round, which releases the resources and renews the incarnation. The meter moves from edge to internal/suspension; both forms use it. TestSuspensionIsAPause fails without the change: Paused is false after a suspension longer than the drop timeout.

--- a/daemon/app.go
+++ b/daemon/app.go
@@ -18,6 +18,7 @@
 
 	"github.com/fulmarfield/fulmarfield/api/fulmarfield/v1/fulmarfieldv1connect"
 	"github.com/fulmarfield/fulmarfield/internal/setting"
+	"github.com/fulmarfield/fulmarfield/internal/suspension"
 	"github.com/fulmarfield/fulmarfield/membership"
 	"github.com/fulmarfield/fulmarfield/peer"
 	"github.com/fulmarfield/fulmarfield/store"
@@ -158,7 +159,7 @@
 		Clients: func(v membership.Viewer) Clients {
 			return peer.NewClients(v, httpClient, key, counters, budget)
 		},
-		Counters: counters, Logger: logger, Seed: now, Budget: budget,
+		Counters: counters, Logger: logger, Seed: now, Budget: budget, Suspended: suspension.NewMeter(logger),
 	}), nil
 }
 
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -42,6 +42,9 @@
 	Clients  func(membership.Viewer) Clients
 	Counters *telemetry.Counters
 	Logger   zerolog.Logger
+	// Suspended returns for how long the VM has been suspended since some time before the start; nil
+	// means that it is never suspended.
+	Suspended func() time.Duration
 	// Budget limits all control traffic. Store, Seeds and Clients charge their calls to it
 	// themselves; nil means the default budget.
 	Budget *peer.Budget
@@ -123,6 +126,7 @@
 		Generation:   func() uint64 { return n.relay.Current().Generation() },
 		OnGeneration: func(from membership.DaemonID, g uint64) { n.relay.OnPeerGeneration(from, g) },
 		OnPause:      func() { n.ownership.OnPause() },
+		Suspended:    o.Suspended,
 		Rand:         rand.New(rand.NewPCG(o.Seed, 1)),
 	})
 	n.messenger = peer.NewMessenger(peer.MessengerOptions{
--- a/edge/app.go
+++ b/edge/app.go
@@ -10,7 +10,6 @@
 	"net/netip"
 	"os"
 	"os/signal"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -126,7 +125,7 @@
 			func(s store.Collections, c *catalog.Catalog, n *telemetry.Counters) *discovery.Syncer {
 				return discovery.NewSyncer(discovery.Options{
 					Store: s, Catalog: c, Counters: n, Logger: logger, PropagationBound: settings.propagationBound(),
-					Suspended: suspensionMeter(logger),
+					Suspended: suspension.NewMeter(logger),
 				})
 			},
 			newDaemon,
@@ -135,22 +134,6 @@
 	)
 }
 
-// suspensionMeter returns a function that returns for how long this VM has been suspended. If its clocks
-// cannot be read, it returns the last value, and logs the first such error.
-func suspensionMeter(logger zerolog.Logger) func() time.Duration {
-	var last atomic.Int64
-	var logOnce sync.Once
-	return func() time.Duration {
-		total, err := suspension.Total()
-		if err != nil {
-			logOnce.Do(func() { logger.Error().Str("event", eventClockError).Err(err).Send() })
-			return time.Duration(last.Load())
-		}
-		last.Store(int64(total))
-		return total
-	}
-}
-
 // newDaemon opens the sockets and listeners of a daemon and connects its components. It starts none of
 // them.
 func newDaemon(s *Settings, c *catalog.Catalog, recordSyncer *discovery.Syncer, n *telemetry.Counters, output *asyncWriter, logger zerolog.Logger) (*Daemon, error) {
--- a/edge/logging.go
+++ b/edge/logging.go
@@ -22,7 +22,6 @@
 	eventLinesSuppressed = "log_lines_left_out"
 	eventLinesDropped    = "log_lines_lost"
 	eventFlow            = "flow"
-	eventClockError      = "clock_unreadable"
 	eventUpstreamHealth  = "upstream_belief"
 	eventUpstreamOutlier = "upstream_outlier"
 	eventFlowEnded       = "flow_ended"
--- a/internal/suspension/suspension.go
+++ b/internal/suspension/suspension.go
@@ -5,11 +5,30 @@
 
 import (
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
 	"golang.org/x/sys/unix"
 )
 
+// NewMeter returns a function that returns Total. If the clocks cannot be read, it returns the last value,
+// and logs the first such error.
+func NewMeter(logger zerolog.Logger) func() time.Duration {
+	var last atomic.Int64
+	var logOnce sync.Once
+	return func() time.Duration {
+		total, err := Total()
+		if err != nil {
+			logOnce.Do(func() { logger.Error().Str("event", "clock_unreadable").Err(err).Send() })
+			return time.Duration(last.Load())
+		}
+		last.Store(int64(total))
+		return total
+	}
+}
+
 // Total returns for how long the VM has been suspended since it booted. It returns an error if the
 // operating system lacks one of the clocks.
 func Total() (time.Duration, error) {
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -18,8 +18,8 @@
 	viewChanged chan struct{}
 	// incarnation is a copy of self.Incarnation that is read for each datagram without the mutex.
 	incarnation atomic.Uint64
-	// lastTick is the time of the last iteration of Run, nil before Run.
-	lastTick atomic.Pointer[time.Time]
+	// lastTick is the last iteration of Run, nil before Run.
+	lastTick atomic.Pointer[tick]
 
 	subscriberMu sync.Mutex
 	subscribers  []func(previous, current *View)
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -274,3 +275,36 @@
 		})
 	}
 }
+
+// Guards against a daemon that serves resources which other daemons took over while its VM was suspended:
+// the clock by which it measures a pause stands still meanwhile.
+func TestSuspensionIsAPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var suspended, pauses atomic.Int64
+		suspended.Store(int64(time.Hour)) // The VM had been suspended before the daemon started.
+		m := membership.New(membership.Options{
+			Self:   membership.Member{ID: "self", PeerAddress: peerAddress, Incarnation: 100},
+			Sender: &recordingSender{}, Counters: telemetry.NewCounters(),
+			Suspended: func() time.Duration { return time.Duration(suspended.Load()) },
+			OnPause:   func() { pauses.Add(1) },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = m.Run(ctx) }()
+		time.Sleep(3 * time.Second)
+		g.Expect(m.Paused()).To(BeFalse())
+
+		suspended.Add(int64(membership.DropTimeout / 2))
+		g.Expect(m.Paused()).To(BeFalse(), "shorter than the drop timeout")
+		time.Sleep(time.Second)
+		g.Expect(pauses.Load()).To(BeZero())
+
+		suspended.Add(int64(membership.DropTimeout + time.Millisecond))
+		g.Expect(m.Paused()).To(BeTrue(), "before any packet that waited is handled")
+		time.Sleep(time.Second)
+		g.Expect(pauses.Load()).To(BeEquivalentTo(1))
+		g.Expect(m.SelfIncarnation()).To(BeNumerically(">", 100))
+		g.Expect(m.Paused()).To(BeFalse())
+	})
+}
--- a/membership/options.go
+++ b/membership/options.go
@@ -94,6 +94,9 @@
 	// OnPause is called when this daemon was paused for longer than DropTimeout, before it
 	// joins again with a new incarnation.
 	OnPause func()
+	// Suspended returns for how long the VM has been suspended since some time before the Membership
+	// was created: the time that the monotonic clock leaves out. nil means that it is never suspended.
+	Suspended func() time.Duration
 	// Rand is the source for random choices of daemons and for jitter; nil means a randomly seeded
 	// source.
 	Rand *rand.Rand
@@ -113,6 +116,9 @@
 	if o.OnPause == nil {
 		o.OnPause = func() {}
 	}
+	if o.Suspended == nil {
+		o.Suspended = func() time.Duration { return 0 }
+	}
 	if o.Rand == nil {
 		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
--- a/membership/run.go
+++ b/membership/run.go
@@ -16,17 +16,18 @@
 
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	last := time.Now()
-	m.recordTick(last)
+	last := m.newTick()
+	m.lastTick.Store(&last)
 	lastInterval := int64(0)
-	m.startJoin(last)
+	m.startJoin(last.at)
 	for {
-		now := time.Now()
-		if now.Sub(last) > DropTimeout {
-			m.resumeAfterPause(now, now.Sub(last))
+		current := m.newTick()
+		now := current.at
+		if gap := current.since(last); gap > DropTimeout {
+			m.resumeAfterPause(now, gap)
 		}
-		last = now
-		m.recordTick(now)
+		last = current
+		m.lastTick.Store(&current)
 		m.dropSuspects(now)
 		m.checkPendingProbes(now)
 		if interval := now.UnixNano() / int64(ProbeInterval); interval != lastInterval {
@@ -44,15 +45,26 @@
 	}
 }
 
-// recordTick records the time of an iteration of Run.
-func (m *Membership) recordTick(now time.Time) { m.lastTick.Store(&now) }
+// tick is the time of an iteration of Run.
+type tick struct {
+	at time.Time
+	// suspended is for how long the VM had been suspended by then.
+	suspended time.Duration
+}
+
+func (m *Membership) newTick() tick { return tick{time.Now(), m.options.Suspended()} }
+
+// since returns the time since an earlier tick, including the time for which the VM was suspended.
+func (t tick) since(earlier tick) time.Duration {
+	return t.at.Sub(earlier.at) + t.suspended - earlier.suspended
+}
 
-// Paused reports whether this daemon was paused for longer than DropTimeout and Run has not
-// handled the pause yet. Other daemons may hold its resources by then, so this daemon must not act as
+// Paused reports whether this daemon was paused, or its VM suspended, for longer than DropTimeout and Run
+// has not handled that yet. Other daemons may hold its resources by then, so this daemon must not act as
 // their holder. Paused returns false before Run.
 func (m *Membership) Paused() bool {
-	at := m.lastTick.Load()
-	return at != nil && time.Since(*at) > DropTimeout
+	last := m.lastTick.Load()
+	return last != nil && m.newTick().since(*last) > DropTimeout
 }
 
 // runNotifier notifies the subscribers of changes of the view until ctx ends.
