--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -208,3 +210,71 @@
 			g.Expect(reason).To(Equal(pb.Reason_REASON_HALF_OPEN))
 		})
 }
+
+// Guards against an answer that reaches the next caller on a port: the service sends second copies of the
+// answers to the flow that used the port before, as soon as the next flow has a request in progress.
+func TestLateCopyOnReusedPort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		network := memnet.New(nil)
+		conn, err := network.Listen(serviceAddr)
+		g.Expect(err).NotTo(HaveOccurred())
+		s := &service{conn: conn}
+		var answers []*pb.Packet
+		s.reply = func(p *pb.Packet) []*pb.Packet {
+			switch p.GetKind() {
+			case pb.Kind_KIND_OPEN:
+				return []*pb.Packet{{Kind: pb.Kind_KIND_OPENED, GuardToken: 7, Upstream: 3}}
+			case pb.Kind_KIND_REQUEST:
+				copies := slices.Clone(answers)
+				answers = append(answers, &pb.Packet{Kind: pb.Kind_KIND_ANSWER, RequestId: p.GetRequestId(), Attempt: p.GetAttempt(),
+					GuardToken: p.GetGuardToken(), Status: pb.Status_STATUS_OK, Payload: p.GetPayload()})
+				return append(copies, answers[len(answers)-1])
+			}
+			return nil
+		}
+		go s.serve()
+		counters := telemetry.NewCounters()
+		d := &caller.Dialer{Listen: network.Listen, Local: callerAddr, Service: serviceAddr, Counters: counters,
+			Rand: rand.New(rand.NewPCG(1, 2))}
+		const flows = 5
+		for i := range flows {
+			f, err := d.Open(t.Context())
+			g.Expect(err).NotTo(HaveOccurred())
+			request := fmt.Sprint("request ", i)
+			a, err := f.Request(t.Context(), caller.Request{Payload: []byte(request), Deadline: time.Second})
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(string(a.Payload)).To(Equal(request))
+			f.Close()
+			time.Sleep(time.Millisecond)
+		}
+		_ = conn.Close()
+		g.Expect(counters.Get("drop.late_answer")).To(BeEquivalentTo(flows * (flows - 1) / 2))
+	})
+}
+
+// Guards against an answer that breaks off and is returned as complete: each number of its first parts
+// arrives, and each single part is missing.
+func TestAnswerThatBreaksOffIsNoSuccess(t *testing.T) {
+	const parts = 4
+	for pattern := range 1<<parts - 1 {
+		runWithService(t, func(p *pb.Packet) []*pb.Packet {
+			if p.GetKind() != pb.Kind_KIND_REQUEST {
+				return nil
+			}
+			var arrived []*pb.Packet
+			for part := range uint32(parts) {
+				if pattern>>part&1 == 1 {
+					arrived = append(arrived, &pb.Packet{Kind: pb.Kind_KIND_ANSWER, RequestId: p.GetRequestId(), Attempt: 1,
+						Part: part, Parts: parts, Status: pb.Status_STATUS_OK, Payload: []byte("part")})
+				}
+			}
+			return arrived
+		}, func(g *WithT, f *caller.Flow, _ *service, _ *telemetry.Counters) {
+			a, err := f.Request(context.Background(), caller.Request{Deadline: time.Second})
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(a.Status).To(Equal(pb.Status_STATUS_OUTCOME_UNKNOWN), "parts %04b", pattern)
+			g.Expect(a.Payload).To(BeEmpty())
+		})
+	}
+}
--- a/inband/steerer_test.go
+++ b/inband/steerer_test.go
@@ -489,3 +489,39 @@
 		})
 	}
 }
+
+// Guards against packets and resets of an earlier flow that affect the next flow on the same port: a late
+// retransmission of the earlier one must reach only its own upstream, or be answered by a reset that names
+// its own acknowledgement, which the caller's next flow does not accept.
+func TestLatePacketOfEarlierFlowOnReusedPort(t *testing.T) {
+	h := newHarness(t, upstream("i-a", "bindery", "schuur"), upstream("i-b", "bindery", "schuur"))
+	late, earlier := h.open(safeAddress)
+	late.Finishes = true
+	h.Expect(h.decide(late).Upstream).To(Equal(earlier))
+	late.Finishes = false
+	h.advance(time.Second)
+
+	next := platform.Packet{Flow: late.Flow, Opens: true}
+	v := h.decide(next)
+	for v.Upstream.ID == earlier.ID {
+		h.advance(200 * time.Millisecond)
+		next.Acknowledged++
+		v = h.decide(next)
+	}
+	current := v.Upstream
+	next = platform.Packet{Flow: late.Flow, Token: current.Token(safeAddress), Sequence: 7_000_000, Acknowledged: 9_000_000, Acknowledges: true}
+	for range 3 {
+		h.Expect(h.decide(withData(late)).Upstream.ID).To(Equal(earlier.ID))
+		h.Expect(h.decide(withData(next)).Upstream.ID).To(Equal(current.ID))
+		h.advance(50 * time.Millisecond)
+	}
+	h.Expect(h.steerer.FlowCount()).To(Equal(1))
+
+	h.catalog.SetUpstreams([]*catalog.Upstream{current})
+	h.advance(catalog.ReregistrationGrace)
+	h.upstreamsValidatedAt = h.now
+	h.Expect(h.decide(withData(late)).Action).To(Equal(inband.ActionReset))
+	v = h.decide(withData(next))
+	h.Expect(v.Action).To(Equal(inband.ActionForward))
+	h.Expect(v.Upstream.ID).To(Equal(current.ID))
+}
--- a/request/admit_test.go
+++ b/request/admit_test.go
@@ -147,22 +147,26 @@
 	})
 }
 
-// Guards against answers that are forwarded with missing parts or parts in the wrong order.
+// Guards against answers that are forwarded with missing parts or parts in the wrong order: each part is
+// missing once.
 func TestAnswerParts(t *testing.T) {
-	simulate(t, 1, request.Tuning{}, func(h *harness) {
-		u := h.upstreams[1]
-		u.parts, u.reverseParts = 5, true
-		f := h.openFlow(1)
-		r := <-h.startRequest(f, "a long enough name", false, time.Second)
-		h.g.Expect(string(r.Payload)).To(Equal("done a long enough name"))
-		u.update(func() { u.omittedPart = 2 })
-		sent := len(h.packetsOfKind(pb.Kind_KIND_ANSWER))
-		r = <-h.startRequest(f, "another", false, time.Second)
-		h.g.Expect(r.Status).To(Equal(pb.Status_STATUS_ERROR))
-		h.g.Expect(r.Reason).To(Equal(pb.Reason_REASON_PARTS_LOST))
-		h.g.Expect(r.Payload).To(BeEmpty())
-		h.g.Expect(h.packetsOfKind(pb.Kind_KIND_ANSWER)).To(HaveLen(sent + 1))
-	})
+	const parts = 5
+	for omitted := 1; omitted <= parts; omitted++ {
+		simulate(t, 1, request.Tuning{}, func(h *harness) {
+			u := h.upstreams[1]
+			u.parts, u.reverseParts = parts, true
+			f := h.openFlow(1)
+			r := <-h.startRequest(f, "a long enough name", false, time.Second)
+			h.g.Expect(string(r.Payload)).To(Equal("done a long enough name"))
+			u.update(func() { u.omittedPart = omitted })
+			sent := len(h.packetsOfKind(pb.Kind_KIND_ANSWER))
+			r = <-h.startRequest(f, "another", false, time.Second)
+			h.g.Expect(r.Status).To(Equal(pb.Status_STATUS_ERROR))
+			h.g.Expect(r.Reason).To(Equal(pb.Reason_REASON_PARTS_LOST))
+			h.g.Expect(r.Payload).To(BeEmpty())
+			h.g.Expect(h.packetsOfKind(pb.Kind_KIND_ANSWER)).To(HaveLen(sent + 1))
+		})
+	}
 }
 
 // Guards against retries that multiply an overload: when upstreams refuse two of three requests,
