Offer resources of a recent start after half a second

Cause: traced starts of 24 daemons with two holders of a partition after 1.9 s. Daemons that start at the same instant settle with different views: z2-03 knew 16 of 24 members, had no better holder and activated the partition at 2 ms. z0-13, which ranks first among all 24, claimed it from the three best-ranked others only, did not reach z2-03 and activated it at 3 ms. z2-03 learned of z0-13 at 201 ms and waited two seconds for its claim before it offered the partition.

A holder now offers a resource after 0.5 s instead of 2 s if it activated it less than 2 s before it found that another daemon should hold it. TestResourceOfAStartIsOfferedSoon fails without the change.

TestFailedOffer waits until its resource is no recent one; its bound is the same.

--- a/ownership/offer.go
+++ b/ownership/offer.go
@@ -17,8 +17,8 @@
 // resource in time. The caller holds s.mu.
 func (s *resourceState) scheduleOffer(o *Ownership, p *callPlan) {
 	wait := OfferAfter
-	if o.leaving.Load() {
-		wait = leaveOfferAfter
+	if o.leaving.Load() || s.mismatchSince.Sub(s.activatedAt) < OfferAfter {
+		wait = shortOfferAfter
 	}
 	due := s.mismatchSince.Add(max(wait, s.offerDelay))
 	switch to := s.desiredHolder(); {
--- a/ownership/options.go
+++ b/ownership/options.go
@@ -29,8 +29,10 @@
 	// LeaveTimeout limits how long Leave waits for other daemons to claim the resources.
 	LeaveTimeout = 10 * time.Second
 
-	// leaveOfferAfter replaces OfferAfter on a leaving daemon, which has at most LeaveTimeout.
-	leaveOfferAfter = 500 * time.Millisecond
+	// shortOfferAfter replaces OfferAfter on a leaving daemon, which has at most LeaveTimeout, and for a
+	// resource that was activated less than OfferAfter before the mismatch: when daemons start at the
+	// same time, the desired holder may have claimed it already without finding this daemon.
+	shortOfferAfter = 500 * time.Millisecond
 	// callTimeout limits one claim or offer call.
 	callTimeout = time.Second
 	// claimTimeout limits a claim. It is longer than the time until a dead member is dropped, so
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -135,6 +135,7 @@
 		t.Run(name, func(t *testing.T) {
 			runWithHarness(t, func(g *WithT, h *harness) {
 				h.settle()
+				wait(ownership.OfferAfter)
 				h.respondToOffer = func(_ membership.DaemonID, r *pb.OfferRequest) (*pb.OfferResponse, error) {
 					if len(r.GetRecords()) == 0 {
 						return &pb.OfferResponse{}, nil
@@ -151,6 +152,24 @@
 	}
 }
 
+// Guards against two holders of a resource for seconds after a start of all daemons: this one activated it
+// before it knew the desired holder, which then claimed it from others only and activated it as well.
+func TestResourceOfAStartIsOfferedSoon(t *testing.T) {
+	runWithHarness(t, func(g *WithT, h *harness) {
+		h.settle()
+		h.respondToOffer = func(_ membership.DaemonID, r *pb.OfferRequest) (*pb.OfferResponse, error) {
+			response := &pb.OfferResponse{}
+			for _, records := range r.GetRecords() {
+				response.Accepted = append(response.Accepted, records.GetResource())
+			}
+			return response, nil
+		}
+		h.makeDesiredHolder(g, "b")
+		wait(time.Second)
+		g.Expect(h.calls()).To(Equal([]string{"fresh", "released"}))
+	})
+}
+
 // Guards against an offer to an unreachable daemon that invalidates the guard token: the call
 // without records that comes first must fail.
 func TestOfferToUnreachableDaemonReleasesNothing(t *testing.T) {
