--- a/edge/daemon_test.go
+++ b/edge/daemon_test.go
@@ -49,6 +49,19 @@
 	return d, args
 }
 
+// startStore runs a store and returns it with its address.
+func startStore(t *testing.T) (*metastore.Store, string) {
+	s := metastore.New()
+	api := httptest.NewServer(s.Handler())
+	t.Cleanup(api.CloseClientConnections)
+	return s, strings.TrimPrefix(api.URL, "http://")
+}
+
+// waitUntilReady waits until the daemon at an IP address accepts packets.
+func waitUntilReady(g *WithT, ip string) {
+	g.Eventually(func() int { return statusCode("http://" + ip + ":7702/api/ready") }, testTimeout).Should(Equal(http.StatusOK))
+}
+
 func statusCode(url string) int {
 	r, err := http.Get(url)
 	if err != nil {
@@ -85,10 +98,7 @@
 // packet to the response, with two daemons and their metrics, while one daemon shuts down.
 func TestEndToEnd(t *testing.T) {
 	g := NewWithT(t)
-	s := metastore.New()
-	api := httptest.NewServer(s.Handler())
-	t.Cleanup(api.CloseClientConnections)
-	address := strings.TrimPrefix(api.URL, "http://")
+	s, address := startStore(t)
 	first, _ := startDaemon(t, 1, address)
 	second, _ := startDaemon(t, 2, address)
 	g.Consistently(func() int { return statusCode("http://127.51.0.1:7702/api/ready") }, 300*time.Millisecond).
@@ -97,7 +107,7 @@
 	s.Put("servers", u.ID, upstreamEntry(u))
 	s.Put("config", "main", configuration(3))
 	for _, ip := range []string{"127.51.0.1", "127.51.0.2"} {
-		g.Eventually(func() int { return statusCode("http://" + ip + ":7702/api/ready") }, testTimeout).Should(Equal(http.StatusOK))
+		waitUntilReady(g, ip)
 	}
 	turn := 0
 	c, err := echo.StartCaller(netip.MustParseAddrPort("127.51.1.1:7701"), func() netip.AddrPort {
@@ -148,15 +158,13 @@
 // although another daemon has them.
 func TestDaemonRefusedByStoreReadsFromAnother(t *testing.T) {
 	g := NewWithT(t)
-	s := metastore.New()
+	s, address := startStore(t)
 	s.Put("config", "main", configuration(5))
-	api := httptest.NewServer(s.Handler())
-	t.Cleanup(api.CloseClientConnections)
 	refusing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		http.Error(w, "busy", http.StatusServiceUnavailable)
 	}))
 	t.Cleanup(refusing.Close)
-	_, _ = startDaemon(t, 1, strings.TrimPrefix(api.URL, "http://"))
+	_, _ = startDaemon(t, 1, address)
 	refused, _ := startDaemon(t, 2, strings.TrimPrefix(refusing.URL, "http://"))
 	g.Eventually(func() bool { return refused.catalog.Current().IsComplete() }, testTimeout).Should(BeTrue())
 	s.Put("config", "main", configuration(8))
@@ -167,11 +175,9 @@
 // store drops its history.
 func TestChangeMissedByWatchIsFound(t *testing.T) {
 	g := NewWithT(t)
-	s := metastore.New()
+	s, address := startStore(t)
 	s.Put("config", "main", configuration(5))
-	api := httptest.NewServer(s.Handler())
-	t.Cleanup(api.CloseClientConnections)
-	d, _ := startDaemon(t, 1, strings.TrimPrefix(api.URL, "http://"))
+	d, _ := startDaemon(t, 1, address)
 	g.Eventually(func() bool { return d.catalog.Current().IsComplete() }, testTimeout).Should(BeTrue())
 	s.SuspendUpdates()
 	s.Put("config", "main", configuration(8))
@@ -182,13 +188,11 @@
 // stale and its seed is down. A stale list must not remove records either.
 func TestStartWithStaleResponses(t *testing.T) {
 	g := NewWithT(t)
-	s := metastore.New()
+	s, address := startStore(t)
 	s.Put("config", "main", configuration(5))
-	api := httptest.NewServer(s.Handler())
-	t.Cleanup(api.CloseClientConnections)
 	s.SuspendUpdates()
 	s.Put("config", "main", configuration(8))
-	d, _ := startDaemon(t, 4, strings.TrimPrefix(api.URL, "http://"))
+	d, _ := startDaemon(t, 4, address)
 	g.Eventually(func() bool { return d.catalog.Current().IsComplete() }, testTimeout).Should(BeTrue())
 	g.Expect(d.catalog.Current().Config.Version).To(Equal(int64(5)), "the list is stale")
 	g.Expect(d.syncer.ConfigValidatedAt()).To(BeZero())
@@ -199,9 +203,8 @@
 // never noticed without a signal.
 func TestReload(t *testing.T) {
 	g := NewWithT(t)
-	api := httptest.NewServer(metastore.New().Handler())
-	t.Cleanup(api.CloseClientConnections)
-	d, args := startDaemon(t, 3, strings.TrimPrefix(api.URL, "http://"))
+	_, address := startStore(t)
+	d, args := startDaemon(t, 3, address)
 	content, err := os.ReadFile(args[1])
 	g.Expect(err).NotTo(HaveOccurred())
 	signals := make(chan os.Signal, 1)
--- a/edge/shutdown_test.go
+++ b/edge/shutdown_test.go
@@ -3,10 +3,8 @@
 import (
 	"fmt"
 	"net/http"
-	"net/http/httptest"
 	"net/netip"
 	"os"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -16,7 +14,6 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/fulmarfield/fulmarfield/standin/echo"
-	"github.com/fulmarfield/fulmarfield/standin/metastore"
 )
 
 // router sends packets to the first daemon in rotation. As on the platform, a daemon leaves the rotation after
@@ -78,10 +75,7 @@
 // were just opened: routers keep sending for a second, and the process exits while callers go on.
 func TestPlannedStopUnderLoad(t *testing.T) {
 	g := NewWithT(t)
-	s := metastore.New()
-	api := httptest.NewServer(s.Handler())
-	t.Cleanup(api.CloseClientConnections)
-	address := strings.TrimPrefix(api.URL, "http://")
+	s, address := startStore(t)
 	stopping, _ := startDaemon(t, 1, address)
 	startDaemon(t, 2, address)
 	u := startUpstream(t, 1)
@@ -89,7 +83,7 @@
 	s.Put("config", "main", configuration(3))
 	r := &router{daemons: []string{"127.51.0.1", "127.51.0.2"}, interval: 500 * time.Millisecond}
 	for _, ip := range r.daemons {
-		g.Eventually(func() int { return statusCode("http://" + ip + ":7702/api/ready") }, testTimeout).Should(Equal(http.StatusOK))
+		waitUntilReady(g, ip)
 	}
 	c, err := echo.StartCaller(netip.MustParseAddrPort("127.51.1.1:7701"), r.target)
 	g.Expect(err).NotTo(HaveOccurred())
--- a/edge/transparency_test.go
+++ b/edge/transparency_test.go
@@ -5,17 +5,13 @@
 	"encoding/hex"
 	"math/rand/v2"
 	"net"
-	"net/http"
-	"net/http/httptest"
 	"net/netip"
-	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"github.com/fulmarfield/fulmarfield/platform"
-	"github.com/fulmarfield/fulmarfield/standin/metastore"
 )
 
 const (
@@ -72,17 +68,15 @@
 // sends to callers itself are resets without data.
 func TestPacketsAreForwardedUnchanged(t *testing.T) {
 	g := NewWithT(t)
-	s := metastore.New()
-	api := httptest.NewServer(s.Handler())
-	t.Cleanup(api.CloseClientConnections)
+	s, address := startStore(t)
 	upstream, caller := newSocket(t, "127.51.2.9:9000"), newSocket(t, "127.51.1.1:7701")
 	s.Put("servers", "i-b9", map[string]any{
 		"service": "bindery", "address": "127.51.2.9:9000", "zone": "zone", "version": "v1", "slots": 2,
 		"state": "ready", "cold_remaining_ms": 0, "seq": 1, "born": 1_700_000_000_000,
 	})
 	s.Put("config", "main", configuration(3))
-	startDaemon(t, 1, strings.TrimPrefix(api.URL, "http://"))
-	g.Eventually(func() int { return statusCode("http://127.51.0.1:7702/api/ready") }, testTimeout).Should(Equal(http.StatusOK))
+	startDaemon(t, 1, address)
+	waitUntilReady(g, "127.51.0.1")
 
 	random := rand.New(rand.NewPCG(1, 2))
 	opening := newPacket(random, 2, 0, 0)
