--- a/load/tracker.go
+++ b/load/tracker.go
@@ -165,9 +165,8 @@
 	t.backoffUntil = now.Add(time.Duration(float64(wait) * (0.5 + jitter)))
 }
 
-// initialBackoff returns the mean time until a slot becomes free. With a fixed back-off of 100 ms,
-// upstreams with a service time of 50 ms that refused a tenth of the requests did 72 % of the work that
-// they could do, instead of 91 %.
+// initialBackoff returns the mean time until a slot becomes free. A longer back-off would leave slots idle
+// after single refusals.
 func (t *Tracker) initialBackoff() time.Duration {
 	if t.serviceTime == 0 {
 		return defaultBackoff
--- a/membership/join.go
+++ b/membership/join.go
@@ -21,8 +21,7 @@
 	// member that became reachable again.
 	minSyncInterval = 5 * time.Second
 	// seedBatchSize is the number of seeds that are queried concurrently. The view of one running
-	// daemon lists the others, so querying each of 24 would only cost traffic: 12 KB of the 120 KB
-	// that a daemon may send in a minute.
+	// daemon lists the others, so that querying all of them would only cost traffic.
 	seedBatchSize = 8
 )
 
--- a/peer/budget.go
+++ b/peer/budget.go
@@ -9,18 +9,16 @@
 	// BudgetBytesPerSecond is the rate that, with BudgetBurst, limits the control traffic that a
 	// daemon sends. In any minute that is at most 81,000 + 24,576 bytes, 1,760 bytes a second on
 	// average. The rest of the limit of 2,000 bytes a second is left for bursts of traffic that
-	// cannot wait, such as claims and configuration pushes: with 1,500 bytes a second and a burst of
-	// 16 KB, a daemon that handed the admissions of its zone to a joining daemon sent 2,040 bytes a
-	// second.
+	// cannot wait, such as claims and configuration pushes.
 	BudgetBytesPerSecond = 1350
 	// BudgetBurst is the capacity of the token bucket in bytes.
 	BudgetBurst = 24 << 10
 	// CallOverhead is an allowance in bytes for the HTTP, TCP and IP headers of one direction
 	// of a call between daemons or to the platform.
 	CallOverhead = 400
-	// maxDebtSeconds limits the debt of a budget to the bytes that its rate allows in this time. With
-	// a minute, exceptions waited so long after the start of all daemons that a kill 35 s later broke
-	// 2 % of the flows of a service with a load bound of 1.05.
+	// maxDebtSeconds limits the debt of a budget to the bytes that its rate allows in this time, so
+	// that exceptions do not wait for long after the start of all daemons. Until an exception is
+	// sent, its flow breaks if this daemon is killed.
 	maxDebtSeconds = 20
 )
 
@@ -38,9 +36,8 @@
 	refilledAt time.Time
 }
 
-// NewDaemonBudget returns the budget of a starting daemon. The bucket starts full: when it started
-// half full, a kill 35 s after the start of six daemons broke 1 % of the flows, because their
-// exceptions had not been sent yet.
+// NewDaemonBudget returns the budget of a starting daemon. The bucket starts full, since a daemon has the
+// most exceptions to send after a start of all daemons.
 func NewDaemonBudget() *Budget { return NewBudget(BudgetBytesPerSecond, BudgetBurst) }
 
 // NewBudget returns a budget with a full bucket. It gains bytesPerSecond tokens a second and holds at
--- a/request/admit.go
+++ b/request/admit.go
@@ -12,9 +12,8 @@
 const (
 	// defaultDeadline applies to requests whose caller sets no deadline.
 	defaultDeadline = 30 * time.Second
-	// Queue lengths of an upstream, by the aim of its service, if the service declares none. In
-	// an overload, a queue of 16 has a third of the p99 wait of a queue of 64, but it loses 2 %
-	// of the requests in bursts that a queue of 64 absorbs.
+	// Queue lengths of an upstream in requests, by the aim of its service, if the service declares
+	// none. A short queue bounds the wait in an overload, a long one absorbs bursts.
 	connectionsQueueLength = 64
 	balanceQueueLength     = 16
 	// drainOpenGrace is how long an upstream still accepts new flows after its drain began, since
--- a/steering/replicator.go
+++ b/steering/replicator.go
@@ -31,9 +31,7 @@
 	envelopeBytes = 90
 	urgentBytes   = envelopeBytes + groupBytes + recordBytes
 	// bulkMinBytes is the size from which a bulk batch is sent without delay: ten flows share its
-	// datagram. With a limit of half a full batch, 36 flows instead of 24 were lost when an owner
-	// was killed 2 s after an upstream was added. The lost flows were in batches that waited for
-	// more flows.
+	// datagram. The flows of a batch that waits for more of them are lost if this daemon is killed.
 	bulkMinBytes = envelopeBytes + groupBytes + 10*recordBytes
 	// bulkDelay is how long a smaller bulk batch waits for more flows while at least half of the
 	// burst is available. The delay grows up to maxBulkDelay as the budget is used up, so that more
