--- a/daemon/page_test.go
+++ b/daemon/page_test.go
@@ -22,8 +22,11 @@
 // page.
 var inBandDirectories = regexp.MustCompile(`^(catalog|discovery|edge|fleet|inband|logread|placement|platform|suspicion)$`)
 
+// sharedSource is the code of both daemons that logs events and that sourceText would leave out.
+const sharedSource = "../internal/suspension/suspension.go"
+
 // sourceText returns the concatenated source code, without stand-ins, tests and tools, of the in-band
-// daemon or of all other packages.
+// daemon or of all other packages, and the shared one.
 func sourceText(g Gomega, isInBand bool) string {
 	var text strings.Builder
 	g.Expect(filepath.WalkDir("..", func(path string, d fs.DirEntry, err error) error {
@@ -43,6 +46,9 @@
 		text.Write(data)
 		return err
 	})).To(Succeed())
+	data, err := os.ReadFile(sharedSource)
+	g.Expect(err).NotTo(HaveOccurred())
+	text.Write(data)
 	return text.String()
 }
 
