--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -253,8 +253,8 @@
 	})
 }
 
-// Guards against an answer that breaks off and is returned as complete: each number of its first parts
-// arrives, and each single part is missing.
+// Guards against an answer that breaks off and is returned as complete: each incomplete set of its parts
+// arrives.
 func TestAnswerThatBreaksOffIsNoSuccess(t *testing.T) {
 	const parts = 4
 	for pattern := range 1<<parts - 1 {
