--- a/review/_standin/cases.go
+++ b/review/_standin/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -104,7 +105,7 @@
 	return d, nil
 }
 
-// runRoutes adds routes in quick succession while the daemons are restarted in turn. Clients use each
+// runRoutes adds routes in quick succession while the daemons are restarted in turn, twice. Clients use each
 // route as soon as the store has acknowledged it.
 func runRoutes(dir string, hasTrouble bool) (*deployment, error) {
 	const (
@@ -158,13 +159,13 @@
 		}
 	}
 	if !hasTrouble {
-		for n := range (1 + len(d.daemons)) * stormRoutes {
+		for n := range (1 + 2*len(d.daemons)) * stormRoutes {
 			d.addRoute(n+1, "unsafe")
 		}
 		time.Sleep(2 * time.Second)
 	}
 	storm()
-	for _, x := range d.daemons {
+	for _, x := range slices.Concat(d.daemons, d.daemons) {
 		var storms sync.WaitGroup
 		storms.Go(storm)
 		if hasTrouble {
