--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -70,8 +70,8 @@
 		return exitFailed
 	}
 	l, err := readEndpointLogs(dir)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
+	if err != nil || len(l) == 0 {
+		fmt.Fprintln(os.Stderr, "no logs of endpoints:", err)
 		return exitFailed
 	}
 	broken := d.record.verdict(l, d.disturbed)
