--- a/review/_standin/cases.go
+++ b/review/_standin/cases.go
@@ -57,7 +57,7 @@
 		// newClients come in each zone with each wave.
 		newClients = 3
 	)
-	d, err := newDeployment(dir, twoZones, 800*time.Millisecond)
+	d, err := newDeployment(dir, tenEndpoints, 800*time.Millisecond)
 	if err != nil {
 		return d, err
 	}
@@ -73,7 +73,7 @@
 	for wave := range waves {
 		crashes := hasTrouble && wave%2 == 1
 		if crashes {
-			e := d.endpoints[wave/2%len(twoZones)*endpointsPerZone]
+			e := d.endpoints[wave/2%len(tenEndpoints)*flapEndpointsPerZone]
 			time.Sleep(time.Until(next.Add(-upBefore - down)))
 			d.record.note("platform: endpoint %s crashes", e.id)
 			e.kill()
--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -243,7 +243,15 @@
 	{"schuur", 3, map[string]int{"bindery": endpointsPerZone}}, {"winkel", 3, map[string]int{"bindery": endpointsPerZone}},
 }
 
-const endpointsPerZone = 4
+// tenEndpoints is a layout in which one endpoint is a tenth of its service.
+var tenEndpoints = []place{
+	{"schuur", 3, map[string]int{"bindery": flapEndpointsPerZone}}, {"winkel", 3, map[string]int{"bindery": flapEndpointsPerZone}},
+}
+
+const (
+	endpointsPerZone     = 4
+	flapEndpointsPerZone = 5
+)
 
 // address returns the loopback address of a host in a zone (from 1; 9 is the platform).
 func (d *deployment) address(zone, host int) netip.Addr {
