--- a/edge/app.go
+++ b/edge/app.go
@@ -161,6 +161,7 @@
 		accountSuspension: recordSyncer.AccountSuspension,
 		lineLimiter:       rateLimiter{perSecond: s.LogLines},
 		validatedAt:       recordSyncer.UpstreamsValidatedAt,
+		configValidatedAt: recordSyncer.ConfigValidatedAt,
 		steerer: inband.NewSteerer(inband.Options{
 			Zone: s.Zone, Catalog: c, Freshness: recordSyncer, PropagationBound: s.propagationBound(),
 			Random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
--- a/edge/packets.go
+++ b/edge/packets.go
@@ -45,8 +45,9 @@
 	pauses      *pauseDetector
 	// accountSuspension makes the records as old as they are after a suspension of this VM.
 	accountSuspension func() time.Duration
-	// validatedAt returns when the upstreams were last known to be the latest.
-	validatedAt func() time.Time
+	// validatedAt returns when the upstreams were last known to be the latest, and configValidatedAt the
+	// same for the configuration.
+	validatedAt, configValidatedAt func() time.Time
 	// sendBuffer is reused for all datagrams that are sent.
 	sendBuffer []byte
 	// lastPacketAt is the time of the last packet. It shows a daemon that is shutting down when
@@ -253,8 +254,10 @@
 	if v.Upstream != nil {
 		line = line.Str("upstream", v.Upstream.ID).Str("zone", v.Upstream.Zone)
 	}
-	if c := l.catalog.Current().Config; c != nil {
-		line = line.Int64("generation", c.Version)
+	snapshot := l.catalog.Current()
+	if c := snapshot.Config; c != nil {
+		line = line.Int64("generation", c.Version).Int64("generation_age_ms", ageMilliseconds(l.configValidatedAt())).
+			Bool("route_known", snapshot.Route(p.Flow.Service()) != nil)
 	}
 	line.Int64("upstreams_age_ms", ageMilliseconds(l.validatedAt())).Int("flows", l.steerer.FlowCount()).Send()
 }
