Keep open flows on routes that a daemon has not read yet

Cause: without a route at the address a daemon did not look the token up, and a new list of the upstreams counted as proof that there was no such upstream.

A token now names its upstream without a route, too. A reset rests on a configuration that lacks the route and was the latest after the first such packet of the flow.

--- a/discovery/advertisements.go
+++ b/discovery/advertisements.go
@@ -87,6 +87,14 @@
 // UpstreamsValidatedAt returns when the upstreams were last known to be the latest.
 func (s *Syncer) UpstreamsValidatedAt() time.Time { return s.ValidatedAt(platform.KindUpstreams) }
 
+// ConfigValidatedSince reports whether the configuration was certainly the latest at some time after t. It
+// causes no read: within the propagation bound every configuration is validated again.
+func (s *Syncer) ConfigValidatedSince(t time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.kinds[platform.KindConfiguration].freshness.wasValidatedAfter(t)
+}
+
 // UpstreamsListedSince reports whether the upstreams were validated after t, and late enough after
 // the store became available for upstreams with expired entries to have registered again. If they
 // were not, it requests a list.
--- a/discovery/suspension_test.go
+++ b/discovery/suspension_test.go
@@ -48,6 +48,20 @@
 	return syncer
 }
 
+// Guards against a configuration that counts as proof on a flow that was opened after it was read.
+func TestConfigurationProof(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		syncer := startSuspendable(t, &slowStore{}, &atomic.Int64{})
+		g.Expect(syncer.ConfigValidatedSince(time.Now().Add(-time.Second))).To(BeTrue())
+		time.Sleep(10 * time.Millisecond)
+		openAt := time.Now()
+		g.Expect(syncer.ConfigValidatedSince(openAt)).To(BeFalse())
+		time.Sleep(2 * time.Second)
+		g.Expect(syncer.ConfigValidatedSince(openAt)).To(BeTrue(), "read again within the bound")
+	})
+}
+
 // Guards against a daemon that acts on expired records, and passes them on as fresh ones, after its VM was
 // suspended: the clock by which their age is measured stands still meanwhile.
 func TestSuspensionAgesRecords(t *testing.T) {
--- a/experiment/signals/simulation.go
+++ b/experiment/signals/simulation.go
@@ -93,6 +93,7 @@
 func (sim *simulation) ConfigValidatedAt() time.Time        { return sim.clock() }
 func (sim *simulation) UpstreamsValidatedAt() time.Time     { return sim.clock() }
 func (sim *simulation) UpstreamsListedSince(time.Time) bool { return false }
+func (sim *simulation) ConfigValidatedSince(time.Time) bool { return false }
 func (sim *simulation) withProbability(share float64) bool  { return sim.random.Float64() < share }
 
 // exponentialDuration returns an exponentially distributed duration.
--- a/inband/steerer.go
+++ b/inband/steerer.go
@@ -21,8 +21,8 @@
 	sweepInterval = 500 * time.Millisecond
 	// defaultIdleTimeout is the idle time-out of flows while the configuration sets none.
 	defaultIdleTimeout = 15 * time.Second
-	// maxUnknownTokens bounds the memory that forged tokens can take up.
-	maxUnknownTokens = 4096
+	// maxUnresolvedFlows bounds the memory that forged tokens can take up.
+	maxUnresolvedFlows = 4096
 	// maxStalenessShare is how stale the configuration may be for a caller to be reset because
 	// there is no route, as a share of PropagationBound. Cached records are validated again after
 	// at most 0.6 of that bound.
@@ -39,6 +39,9 @@
 	// requested after t and late enough for expired entries to be registered again. If not, it may
 	// request a list.
 	UpstreamsListedSince(t time.Time) bool
+	// ConfigValidatedSince reports whether the configuration was certainly the latest at some time
+	// after t.
+	ConfigValidatedSince(t time.Time) bool
 }
 
 // Options are the settings and dependencies of a Steerer.
@@ -59,6 +62,12 @@
 	sentAt time.Time
 }
 
+// unresolvedFlow is an open flow whose upstream or route is unknown to this daemon, with its token.
+type unresolvedFlow struct {
+	key   wire.FlowKey
+	token uint32
+}
+
 // EndedFlow is a flow that the daemon ended because its upstream is dead or deregistered.
 type EndedFlow struct {
 	Flow wire.FlowKey
@@ -81,9 +90,10 @@
 	detector       *outlier.Detector
 	responses      *responses
 	pendingOpens   []pendingOpen
-	// unknownTokens holds the tokens of packets for which the catalog has no upstream, with the
-	// time of the first such packet.
-	unknownTokens map[uint32]time.Time
+	// unresolvedFlows holds the flows for whose packets the catalog has no upstream or no route, with
+	// the time of the first such packet. The flow was open then, so that a later state of the store
+	// without the upstream or the route shows that it was removed.
+	unresolvedFlows map[unresolvedFlow]time.Time
 	// withoutUpstreamSince holds the service addresses for whose routes no upstream accepts flows, with
 	// the time of the first opening packet that could not be placed.
 	withoutUpstreamSince map[netip.AddrPort]time.Time
@@ -100,7 +110,7 @@
 	return &Steerer{
 		detector: detector, responses: newResponses(detector),
 		options: o, flows: map[wire.FlowKey]*flow{}, flowsByUpstream: map[uint64]int{}, busyByUpstream: map[uint64]int{},
-		tracker: suspicion.NewTracker(), unknownTokens: map[uint32]time.Time{},
+		tracker: suspicion.NewTracker(), unresolvedFlows: map[unresolvedFlow]time.Time{},
 		withoutUpstreamSince: map[netip.AddrPort]time.Time{},
 	}
 }
@@ -231,7 +241,18 @@
 func (s *Steerer) steer(snapshot *catalog.Snapshot, p platform.Packet, now time.Time) Verdict {
 	u := s.tokenIndex.find(snapshot, p.Flow.Service(), p.Token)
 	if u == nil {
-		return s.steerUnknownToken(p, now)
+		return s.steerUnknownToken(snapshot, p, now)
+	}
+	reason, isRepeated := ReasonOpen, false
+	if snapshot.Route(p.Flow.Service()) == nil {
+		var isRemoved bool
+		if isRemoved, isRepeated = s.steerWithoutRoute(snapshot, p, now); isRemoved {
+			s.removeFlow(p.Flow)
+			return refuse(p, u, ReasonNoRoute)
+		}
+		reason = ReasonRouteUnvalidated
+	} else if len(s.unresolvedFlows) > 0 {
+		delete(s.unresolvedFlows, unresolvedFlow{p.Flow, p.Token})
 	}
 	status := snapshot.RegistrationStatus(u.Key, s.options.Freshness.UpstreamsValidatedAt())
 	if status == catalog.StatusDeregistered {
@@ -245,7 +266,7 @@
 	}
 	if f.isFinished {
 		f.lastSeen = now
-		return forwardOpen(u, status)
+		return forwardOpen(u, status, reason)
 	}
 	openLatency := f.openLatency(now)
 	isDead := s.recordPacket(snapshot, f, p, now)
@@ -257,17 +278,17 @@
 	if p.Finishes || p.Resets {
 		s.finishFlow(f)
 	}
-	v := forwardOpen(u, status)
-	v.OpenLatency = openLatency
+	v := forwardOpen(u, status, reason)
+	v.OpenLatency, v.IsRepeated = openLatency, isRepeated
 	return v
 }
 
-// forwardOpen returns the verdict on a packet of an open flow.
-func forwardOpen(u *catalog.Upstream, status catalog.RegistrationStatus) Verdict {
+// forwardOpen returns the verdict on a packet of an open flow. The reason is that for a registered upstream.
+func forwardOpen(u *catalog.Upstream, status catalog.RegistrationStatus, r Reason) Verdict {
 	if status == catalog.StatusMissing {
 		return forward(u, ReasonMissingUpstream)
 	}
-	return forward(u, ReasonOpen)
+	return forward(u, r)
 }
 
 // recordPacket updates the state of an open flow and the evidence on its upstream with a packet. It
@@ -316,26 +337,69 @@
 }
 
 // steerUnknownToken handles a packet whose token identifies no upstream in the catalog. Another daemon
-// may have read the entry of the upstream earlier than this one. Therefore the caller is reset only if
-// a complete list that was requested after the first such packet does not contain the upstream either.
-func (s *Steerer) steerUnknownToken(p platform.Packet, now time.Time) Verdict {
-	since, seen := s.unknownTokens[p.Token]
-	if !seen {
-		if len(s.unknownTokens) >= maxUnknownTokens {
-			return drop(ReasonUnknownToken)
-		}
-		since = now
-		s.unknownTokens[p.Token] = now
+// may have read the entry of the upstream, or the route, earlier than this one. Therefore the caller is
+// reset only if a state of the store that is later than the first such packet of the flow contains no
+// such upstream or no such route either.
+func (s *Steerer) steerUnknownToken(snapshot *catalog.Snapshot, p platform.Packet, now time.Time) Verdict {
+	since, status := s.recordUnresolved(p, now)
+	if status == notTracked {
+		return drop(ReasonUnknownToken)
+	}
+	if s.isRouteRemoved(snapshot, p, since) {
+		s.removeFlow(p.Flow)
+		return refuse(p, nil, ReasonNoRoute)
 	}
-	if !s.options.Freshness.UpstreamsListedSince(since) {
+	if !s.options.Freshness.UpstreamsListedSince(since) || !s.isCurrent(snapshot) {
 		v := drop(ReasonUnknownToken)
-		v.IsRepeated = seen
+		v.IsRepeated = status == alreadyTracked
 		return v
 	}
 	s.removeFlow(p.Flow)
 	return refuse(p, nil, ReasonUnknownToken)
 }
 
+// steerWithoutRoute reports whether the route of an open flow to a known upstream was removed, so that the
+// flow has to end. As long as this daemon may only be late to read the route, the flow goes on.
+func (s *Steerer) steerWithoutRoute(snapshot *catalog.Snapshot, p platform.Packet, now time.Time) (isRemoved, isRepeated bool) {
+	since, status := s.recordUnresolved(p, now)
+	return status != notTracked && s.isRouteRemoved(snapshot, p, since), status == alreadyTracked
+}
+
+// isRouteRemoved reports whether a flow that was open at a time has no route in a later configuration.
+func (s *Steerer) isRouteRemoved(snapshot *catalog.Snapshot, p platform.Packet, openAt time.Time) bool {
+	return snapshot.Route(p.Flow.Service()) == nil && s.options.Freshness.ConfigValidatedSince(openAt) &&
+		s.isCurrent(snapshot)
+}
+
+// isCurrent reports whether the catalog still holds the snapshot. Freshness that was read after the
+// snapshot describes the snapshot only if it does.
+func (s *Steerer) isCurrent(snapshot *catalog.Snapshot) bool {
+	return s.options.Catalog.Current() == snapshot
+}
+
+// trackingStatus is whether a flow is in the table of unresolved flows.
+type trackingStatus uint8
+
+const (
+	// notTracked means that the table is full.
+	notTracked trackingStatus = iota
+	newlyTracked
+	alreadyTracked
+)
+
+// recordUnresolved returns the time of the first packet of a flow whose upstream or route is unknown.
+func (s *Steerer) recordUnresolved(p platform.Packet, now time.Time) (time.Time, trackingStatus) {
+	key := unresolvedFlow{p.Flow, p.Token}
+	if since, seen := s.unresolvedFlows[key]; seen {
+		return since, alreadyTracked
+	}
+	if len(s.unresolvedFlows) >= maxUnresolvedFlows {
+		return time.Time{}, notTracked
+	}
+	s.unresolvedFlows[key] = now
+	return now, newlyTracked
+}
+
 // addFlow adds a flow to the table, in place of an earlier one with the same key.
 func (s *Steerer) addFlow(key wire.FlowKey, f *flow) {
 	s.removeFlow(key)
@@ -395,9 +459,9 @@
 	s.lastSweep = now
 	snapshot := s.options.Catalog.Current()
 	s.sweepFlows(snapshot, now)
-	for token, since := range s.unknownTokens {
+	for key, since := range s.unresolvedFlows {
 		if now.Sub(since) > defaultIdleTimeout {
-			delete(s.unknownTokens, token)
+			delete(s.unresolvedFlows, key)
 		}
 	}
 	s.tracker.Retain(func(key uint64) bool { return s.flowsByUpstream[key] > 0 || s.tracker.IsSuspect(key, now) })
--- a/inband/steerer_test.go
+++ b/inband/steerer_test.go
@@ -39,6 +39,7 @@
 func (h *harness) ConfigValidatedAt() time.Time              { return h.configValidatedAt }
 func (h *harness) UpstreamsValidatedAt() time.Time           { return h.upstreamsValidatedAt }
 func (h *harness) UpstreamsListedSince(t time.Time) bool     { return h.listedAt.After(t) }
+func (h *harness) ConfigValidatedSince(t time.Time) bool     { return h.configValidatedAt.After(t) }
 func (h *harness) advance(d time.Duration)                   { h.now = h.now.Add(d) }
 func (h *harness) decide(p platform.Packet) inband.Verdict   { return h.steerer.Decide(p, h.now) }
 func (h *harness) token(id string, at netip.AddrPort) uint32 { return upstream(id, "", "").Token(at) }
--- a/inband/tokens.go
+++ b/inband/tokens.go
@@ -26,9 +26,10 @@
 }
 
 // find returns the upstream that a token identifies at a service address, or nil. The upstream may
-// belong to a service that the route does not contain any more: open flows stay on their upstreams
-// when the services of a route change, and the token is evidence that a daemon placed the flow for
-// this address.
+// belong to a service that the route does not contain any more, and there may be no route at the address
+// as far as this daemon knows: open flows stay on their upstreams when the services of a route change, the
+// route may have been added just now, and the token is evidence that a daemon placed the flow for this
+// address.
 func (t *tokenIndex) find(s *catalog.Snapshot, address netip.AddrPort, token uint32) *catalog.Upstream {
 	if t.snapshot != s {
 		*t = tokenIndex{
@@ -36,12 +37,10 @@
 			searchResults: map[boundToken]*catalog.Upstream{},
 		}
 	}
-	route := s.Route(address)
-	if route == nil {
-		return nil
-	}
-	if u := t.indexRoute(route)[token]; u != nil {
-		return u
+	if route := s.Route(address); route != nil {
+		if u := t.indexRoute(route)[token]; u != nil {
+			return u
+		}
 	}
 	key := boundToken{address, token}
 	u, found := t.searchResults[key]
--- a/inband/verdict.go
+++ b/inband/verdict.go
@@ -40,7 +40,8 @@
 	// status catalog.StatusMissing.
 	ReasonMissingUpstream
 	ReasonNoRoute
-	// ReasonRouteUnvalidated means that there is no route, but the configuration may be stale.
+	// ReasonRouteUnvalidated means that there is no route, but the configuration may be stale: opening
+	// packets are dropped, and packets of open flows are forwarded.
 	ReasonRouteUnvalidated
 	ReasonNoUpstream
 	// ReasonUpstreamsUnvalidated means that no upstream accepts the flow as far as this daemon knows,
