--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -58,6 +58,8 @@
 	// ready holds the upstreams of each service that accept new flows, and steerable all of its
 	// upstreams, including the deregistered ones.
 	ready, steerable map[string][]*Upstream
+	// latest holds the latest incarnation of each upstream by ID, registered or not.
+	latest map[string]*Upstream
 	// lapsed holds the upstreams of each service that accepted new flows when their entries vanished.
 	lapsed map[string][]*Upstream
 }
@@ -114,6 +116,9 @@
 	}
 }
 
+// Latest returns the latest incarnation of the upstream with an ID, registered or not, or nil.
+func (s *Snapshot) Latest(id string) *Upstream { return s.latest[id] }
+
 // Upstream returns the registered upstream with a key, or nil.
 func (s *Snapshot) Upstream(key uint64) *Upstream { return s.registered[key] }
 
@@ -256,9 +261,10 @@
 		registered:   make(map[uint64]*Upstream, len(c.upstreams)),
 		deregistered: make(map[uint64]deregistered, len(c.deregistered)),
 		ready:        map[string][]*Upstream{}, steerable: map[string][]*Upstream{}, lapsed: map[string][]*Upstream{},
+		latest: make(map[string]*Upstream, len(c.upstreams)),
 	}
 	for _, u := range c.upstreams {
-		s.registered[u.Key] = u
+		s.registered[u.Key], s.latest[u.ID] = u, u
 		s.steerable[u.Service] = append(s.steerable[u.Service], u)
 		if u.State == StateReady {
 			s.ready[u.Service] = append(s.ready[u.Service], u)
@@ -273,6 +279,9 @@
 			continue
 		}
 		s.deregistered[key] = d
+		if !d.isReplaced && s.latest[d.upstream.ID] == nil {
+			s.latest[d.upstream.ID] = d.upstream
+		}
 		s.steerable[d.upstream.Service] = append(s.steerable[d.upstream.Service], d.upstream)
 		if d.upstream.State == StateReady && !d.isReplaced {
 			s.lapsed[d.upstream.Service] = append(s.lapsed[d.upstream.Service], d.upstream)
--- a/inband/flow.go
+++ b/inband/flow.go
@@ -11,8 +11,10 @@
 type flow struct {
 	upstream *catalog.Upstream
 	lastSeen time.Time
-	// isOpen is set by the caller's first acknowledgement.
-	isOpen bool
+	// isOpen is set by the caller's first acknowledgement that this daemon received, and openSince is
+	// the time of that packet. The flow may have been opened earlier, through another daemon.
+	isOpen    bool
+	openSince time.Time
 	// acknowledged is the caller's last acknowledgement. It rises as the caller receives data.
 	acknowledged uint32
 	// dataStart is the sequence number of the first byte that the caller sent after that
@@ -58,6 +60,14 @@
 	return now.Sub(f.lastSeen)
 }
 
+// openFor returns for how long this daemon has known the flow to be open, 0 if it is not open.
+func (f *flow) openFor(now time.Time) time.Duration {
+	if f == nil || !f.isOpen {
+		return 0
+	}
+	return now.Sub(f.openSince)
+}
+
 // event is the evidence of the upstream's health that a packet of a flow contains.
 type event uint8
 
@@ -73,6 +83,9 @@
 	f.lastSeen = now
 	observed := eventNone
 	if !f.isOpen || int32(p.Acknowledged-f.acknowledged) > 0 {
+		if !f.isOpen {
+			f.openSince = now
+		}
 		f.isOpen, f.acknowledged, f.retransmissions = true, p.Acknowledged, 0
 		f.dataStart = p.Sequence
 		observed = eventProgress
--- a/inband/steerer.go
+++ b/inband/steerer.go
@@ -75,6 +75,8 @@
 	Acknowledged uint32
 	Upstream     *catalog.Upstream
 	Reason       Reason
+	// OpenFor is for how long this daemon has known the flow to be open.
+	OpenFor time.Duration
 }
 
 // Steerer decides how packets are handled. It must be used by one goroutine only.
@@ -255,11 +257,13 @@
 		delete(s.unresolvedFlows, unresolvedFlow{p.Flow, p.Token})
 	}
 	status := snapshot.RegistrationStatus(u.Key, s.options.Freshness.UpstreamsValidatedAt())
+	f := s.flows[p.Flow]
 	if status == catalog.StatusDeregistered {
 		s.removeFlow(p.Flow)
-		return refuse(p, u, ReasonUpstreamDeregistered)
+		v := refuse(p, u, ReasonUpstreamDeregistered)
+		v.OpenFor = f.openFor(now)
+		return v
 	}
-	f := s.flows[p.Flow]
 	if f == nil || f.upstream.Key != u.Key {
 		f = &flow{upstream: u}
 		s.addFlow(p.Flow, f)
@@ -318,7 +322,7 @@
 func (s *Steerer) endIdleFlows(snapshot *catalog.Snapshot, upstream uint64, now time.Time) {
 	for key, f := range s.flows {
 		if f.upstream.Key == upstream && (f.isIdle(now) || f.isQuiet(now) && isRetryable(snapshot, key)) {
-			s.endFlow(key, f, ReasonUpstreamDead)
+			s.endFlow(key, f, ReasonUpstreamDead, now)
 		}
 	}
 }
@@ -330,9 +334,9 @@
 }
 
 // endFlow removes a flow, and records it for a proactive reset of its caller.
-func (s *Steerer) endFlow(key wire.FlowKey, f *flow, r Reason) {
+func (s *Steerer) endFlow(key wire.FlowKey, f *flow, r Reason, now time.Time) {
 	s.endedFlows = append(s.endedFlows,
-		EndedFlow{Flow: key, Acknowledged: f.acknowledged, Upstream: f.upstream, Reason: r})
+		EndedFlow{Flow: key, Acknowledged: f.acknowledged, Upstream: f.upstream, Reason: r, OpenFor: f.openFor(now)})
 	s.removeFlow(key)
 }
 
@@ -486,7 +490,7 @@
 		case now.Sub(f.lastSeen) > idleTimeout, f.isFinished && now.Sub(f.lastSeen) > finishedRetention:
 			s.removeFlow(key)
 		case f.isOpen && !f.isFinished && snapshot.RegistrationStatus(f.upstream.Key, validatedAt) == catalog.StatusDeregistered:
-			s.endFlow(key, f, ReasonUpstreamDeregistered)
+			s.endFlow(key, f, ReasonUpstreamDeregistered, now)
 		}
 	}
 }
--- a/inband/steerer_test.go
+++ b/inband/steerer_test.go
@@ -398,7 +398,8 @@
 	h.Expect(h.decide(p).Action).To(Equal(inband.ActionForward), "the upstream may have registered again since")
 	h.upstreamsValidatedAt = h.now
 	h.Expect(h.decide(withData(p))).To(Equal(
-		inband.Verdict{Action: inband.ActionReset, Reason: inband.ReasonUpstreamDeregistered, Upstream: u}))
+		inband.Verdict{Action: inband.ActionReset, Reason: inband.ReasonUpstreamDeregistered, Upstream: u,
+			OpenFor: catalog.ReregistrationGrace}))
 }
 
 // Guards against new flows to a draining upstream, and against packets of its open flows that are
--- a/inband/verdict.go
+++ b/inband/verdict.go
@@ -73,6 +73,9 @@
 	// OpenLatency is the time from the last transmission of the opening packet to the caller's
 	// first acknowledgement. It is set for the packet with that acknowledgement and zero for others.
 	OpenLatency time.Duration
+	// OpenFor is for how long this daemon has known a flow to be open that it ends. It is zero if the
+	// flow is new to this daemon.
+	OpenFor time.Duration
 	// IsRepeated is set if the same verdict was returned for the token before.
 	IsRepeated bool
 }
