End flows for an upstream's restart only with proof that they are older

Cause: the token named an incarnation, but a daemon knows only the last one that registered, and whichever process has the ID accepts the flow. The log with the new fields: a flow that was open for 5,997 ms when it ended, opened 0.2 s after the upstream's start and 0.6 s before the daemon read the new entry. Expiry is ruled out (registered all the time), silence too (no upstream_dead for these flows).

The token now names the upstream by its ID, and packets go to its latest incarnation, which resets what it does not hold. A daemon ends a flow for a restart only if it knew the flow to be open before the new process can have started: the last validated list with the earlier entry, less three heartbeat intervals and 2 s, if the store was available as long. The heartbeat interval is a setting. Related paths with the same belief: an upstream that registered again after its entry had expired, and a daemon that started after the new entry was written and did not know the earlier token.

On the code before, with the calls that it lacks taken out, TestFlowOnRestartedUpstreamGoesOn, TestFlowOpenedBeforeReregistrationGoesOn and TestFlowsOlderThanRestartEnd failed.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -32,19 +32,18 @@
 	// StatusMissing means that the entry was removed less than ReregistrationGrace ago, so that
 	// the upstream may still be running and register again.
 	StatusMissing
-	// StatusDeregistered means that the entry was removed at least ReregistrationGrace ago, or was
-	// replaced by that of another incarnation, so that the upstream counts as stopped.
+	// StatusDeregistered means that the entry was removed at least ReregistrationGrace ago, so that the
+	// upstream counts as stopped.
 	StatusDeregistered
 )
 
-// deregistered is an upstream whose entry was removed or replaced. Until ReregistrationGrace after a
-// removal, its status is still StatusMissing.
+// deregistered is an upstream whose entry was removed. Until ReregistrationGrace after the removal, its
+// status is still StatusMissing.
 type deregistered struct {
 	upstream *Upstream
 	since    time.Time
-	// isReplaced means that another incarnation is registered under the same name, so that this
-	// incarnation cannot register again.
-	isReplaced bool
+	// writtenAfter is a time after which the upstream wrote the entry, the zero time if none is known.
+	writtenAfter time.Time
 }
 
 // Snapshot is the state of routes and upstreams at one moment. It must not be changed.
@@ -134,7 +133,7 @@
 	switch {
 	case !found:
 		return StatusUnknown
-	case d.isReplaced || validatedAt.Sub(d.since) >= ReregistrationGrace:
+	case validatedAt.Sub(d.since) >= ReregistrationGrace:
 		return StatusDeregistered
 	default:
 		return StatusMissing
@@ -154,14 +153,17 @@
 	config          *Configuration
 	upstreams       map[string]*Upstream
 	upstreamsListed bool
-	deregistered    map[uint64]deregistered
-	current         atomic.Pointer[Snapshot]
-	now             func() time.Time
+	// deregistered holds the upstreams by ID whose entries were removed and have not been written again.
+	deregistered map[string]deregistered
+	// writtenAfter is a time after which the upstreams wrote all registered entries.
+	writtenAfter time.Time
+	current      atomic.Pointer[Snapshot]
+	now          func() time.Time
 }
 
 // New returns an empty catalog that reads the time from now.
 func New(now func() time.Time) *Catalog {
-	c := &Catalog{upstreams: map[string]*Upstream{}, deregistered: map[uint64]deregistered{}, now: now}
+	c := &Catalog{upstreams: map[string]*Upstream{}, deregistered: map[string]deregistered{}, now: now}
 	c.current.Store(&Snapshot{})
 	return c
 }
@@ -222,37 +224,54 @@
 	c.publish()
 }
 
-// put registers an upstream, and deregisters an earlier incarnation with the same ID. The caller holds
-// c.mu.
+// RecordWrittenAfter records that the upstreams wrote all registered entries after t. An incarnation that
+// replaces a registered one has therefore started after t.
+func (c *Catalog) RecordWrittenAfter(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t.After(c.writtenAfter) {
+		c.writtenAfter = t
+	}
+}
+
+// put registers an upstream in place of an earlier incarnation with the same ID. The caller holds c.mu.
 func (c *Catalog) put(u *Upstream) {
 	next := *u
 	next.warmAt = c.now().Add(u.ColdRemaining)
-	if previous := c.upstreams[u.ID]; previous != nil {
-		if previous.Key != u.Key {
-			c.recordDeregistration(previous, true)
-		} else if next.warmAt.After(previous.warmAt) {
-			// The same registration was read again. Its slow start ends as computed at the first
-			// read.
+	previous, writtenAfter := c.upstreams[u.ID], c.writtenAfter
+	if d, found := c.deregistered[u.ID]; found {
+		previous, writtenAfter = d.upstream, d.writtenAfter
+		delete(c.deregistered, u.ID)
+	}
+	switch {
+	case previous == nil:
+	case previous.Key == u.Key:
+		// The same registration was read again. Its slow start ends as computed at the first read.
+		if c.upstreams[u.ID] != nil && next.warmAt.After(previous.warmAt) {
 			next.warmAt = previous.warmAt
 		}
+		next.startedAfter = previous.startedAfter
+	case isRestart(previous, u):
+		next.startedAfter = writtenAfter
 	}
 	c.upstreams[u.ID] = &next
-	delete(c.deregistered, u.Key)
+}
+
+// isRestart reports whether an entry certainly belongs to a later process of the same upstream. Entries of
+// other writers may have the ID of an upstream, too.
+func isRestart(previous, next *Upstream) bool {
+	return previous.StartedAt != 0 && next.StartedAt != 0 && previous.StartedAt != next.StartedAt &&
+		previous.Service == next.Service && previous.Address == next.Address
 }
 
 // remove deregisters an upstream whose entry was removed. The caller holds c.mu.
 func (c *Catalog) remove(id string) {
 	if u := c.upstreams[id]; u != nil {
 		delete(c.upstreams, id)
-		c.recordDeregistration(u, false)
+		c.deregistered[id] = deregistered{upstream: u, since: c.now(), writtenAfter: c.writtenAfter}
 	}
 }
 
-// recordDeregistration keeps a deregistered upstream for deregisteredRetention.
-func (c *Catalog) recordDeregistration(u *Upstream, isReplaced bool) {
-	c.deregistered[u.Key] = deregistered{upstream: u, since: c.now(), isReplaced: isReplaced}
-}
-
 // publish stores a new snapshot. It leaves the maps of the previous snapshot unchanged.
 func (c *Catalog) publish() {
 	now := c.now()
@@ -273,17 +292,14 @@
 	for _, list := range s.ready {
 		slices.SortFunc(list, func(a, b *Upstream) int { return strings.Compare(a.ID, b.ID) })
 	}
-	for key, d := range c.deregistered {
+	for id, d := range c.deregistered {
 		if now.Sub(d.since) > deregisteredRetention {
-			delete(c.deregistered, key)
+			delete(c.deregistered, id)
 			continue
 		}
-		s.deregistered[key] = d
-		if !d.isReplaced && s.latest[d.upstream.ID] == nil {
-			s.latest[d.upstream.ID] = d.upstream
-		}
+		s.deregistered[d.upstream.Key], s.latest[id] = d, d.upstream
 		s.steerable[d.upstream.Service] = append(s.steerable[d.upstream.Service], d.upstream)
-		if d.upstream.State == StateReady && !d.isReplaced {
+		if d.upstream.State == StateReady {
 			s.lapsed[d.upstream.Service] = append(s.lapsed[d.upstream.Service], d.upstream)
 		}
 	}
--- a/catalog/types.go
+++ b/catalog/types.go
@@ -36,15 +36,22 @@
 	// Slots is the number of requests that the upstream processes concurrently.
 	Slots int
 	State State
-	// StartedAt is the start time in Unix milliseconds by the upstream's clock. It only
-	// distinguishes incarnations.
+	// StartedAt is the start time in Unix milliseconds by the upstream's clock, 0 if it is not known. It
+	// only distinguishes incarnations: clocks differ and may be set.
 	StartedAt int64
 	// ColdRemaining is how much longer the upstream is in its slow start, as of its registration.
 	ColdRemaining time.Duration
 	// warmAt is the end of the slow start by this daemon's clock, derived from ColdRemaining.
 	warmAt time.Time
+	// startedAfter is a time by this daemon's clock after which this incarnation started, the zero time
+	// if none is known.
+	startedAfter time.Time
 }
 
+// StartedAfter reports whether this incarnation is known to have started after a time by this daemon's
+// clock. False means that it may have started earlier or later.
+func (u *Upstream) StartedAfter(t time.Time) bool { return t.Before(u.startedAfter) }
+
 // IsCold reports whether the upstream is still in its slow start.
 func (u *Upstream) IsCold(now time.Time) bool { return now.Before(u.warmAt) }
 
@@ -59,19 +66,23 @@
 }
 
 // Token returns the token that packets of the upstream's flows to a service address carry. All
-// daemons compute the same value. The token is bound to the address, so that the token of a flow to
-// one service is invalid at another service's address. It is never 0, the value in packets without a
-// token. Callers do not know the IDs of upstreams, so they can only guess a token, with a chance of
-// 1 in 2^32 for each upstream.
+// daemons compute the same value. The token names the upstream by its ID and no incarnation: the
+// daemon that places a flow cannot know which incarnation accepts it, since an upstream that starts
+// again under its ID registers later than it listens. The token is bound to the address, so that the
+// token of a flow to one service is invalid at another service's address. It is never 0, the value in
+// packets without a token. Callers do not know the IDs of upstreams, so they can only guess a token,
+// with a chance of 1 in 2^32 for each upstream.
 func (u *Upstream) Token(address netip.AddrPort) uint32 {
-	var b [14]byte
-	binary.BigEndian.PutUint64(b[:], u.Key)
+	b := append(make([]byte, 0, typicalIDBytes+6), u.ID...)
 	ip := address.Addr().As4()
-	copy(b[8:], ip[:])
-	binary.BigEndian.PutUint16(b[12:], address.Port())
-	return max(uint32(xxhash.Sum64(b[:])), 1)
+	b = append(b, ip[:]...)
+	b = binary.BigEndian.AppendUint16(b, address.Port())
+	return max(uint32(xxhash.Sum64(b)), 1)
 }
 
+// typicalIDBytes is a length that most IDs of upstreams do not exceed.
+const typicalIDBytes = 32
+
 // RequestKind determines whether a failed request may be retried.
 type RequestKind uint8
 
--- a/discovery/advertisements.go
+++ b/discovery/advertisements.go
@@ -30,6 +30,9 @@
 	if k.freshness.fresherAdvertisement.From.IsValid() {
 		notify(s.wake[ad.Kind])
 	}
+	if k.freshness.validatedAt.After(before) {
+		s.recordWrittenAfterLocked(ad.Kind)
+	}
 	if k.freshness.validatedAt.Sub(before) < minFreshnessGain {
 		return false
 	}
--- a/discovery/revalidate.go
+++ b/discovery/revalidate.go
@@ -10,6 +10,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/fulmarfield/fulmarfield/internal/wait"
+	"github.com/fulmarfield/fulmarfield/platform"
 	"github.com/fulmarfield/fulmarfield/store"
 )
 
@@ -216,6 +217,7 @@
 	k.jitter = jitter(rand.Float64(), daemons)
 	s.apply(kind, k.recordCache.merge(rs, time.Now()), isFirst, fromStore)
 	k.recordCache.purgeTombstones(rs.ValidatedAt)
+	s.recordWrittenAfterLocked(kind)
 	s.mu.Unlock()
 	notify(s.advanced[kind])
 	if s.onValidated != nil {
@@ -223,6 +225,20 @@
 	}
 }
 
+// recordWrittenAfterLocked records in the catalog since when the upstreams have written all their entries:
+// entries of upstreams that have stopped expire, unless the store was unavailable meanwhile. The caller holds
+// s.mu.
+func (s *Syncer) recordWrittenAfterLocked(kind store.Kind) {
+	availableSince := s.breaker.storeAvailableSince()
+	if kind != platform.KindUpstreams || s.options.HeartbeatInterval == 0 || availableSince.IsZero() {
+		return
+	}
+	writtenAfter := s.kinds[kind].freshness.validatedAt.Add(-expiryHeartbeats*s.options.HeartbeatInterval - expirySlack)
+	if !writtenAfter.Before(availableSince) {
+		s.options.Catalog.RecordWrittenAfter(writtenAfter)
+	}
+}
+
 // applyUnvalidated applies records that may be stale by seconds. It has an effect only while no
 // records of the kind are cached. No upstream counts as deregistered until the records are
 // validated.
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -30,6 +30,8 @@
 	ConfigurationBound int `long:"configuration-bound-ms" env:"FULMAR_CONFIGURATION_BOUND_MS" default:"3000" description:"time in which an acknowledged configuration is in force, 500 to 60000 ms"`
 	DrainBound         int `long:"drain-bound-ms" env:"FULMAR_DRAIN_BOUND_MS" default:"3000" description:"time after which a draining upstream gets no new flow, 500 to 60000 ms"`
 
+	UpstreamHeartbeat int `long:"upstream-heartbeat-ms" env:"FULMAR_UPSTREAM_HEARTBEAT_MS" default:"1200" description:"time between two reports of an upstream to the store, which removes its entry after three missed ones, 100 to 60000 ms"`
+
 	GraceSeconds float64 `long:"grace-seconds" env:"FULMAR_GRACE_SECONDS" default:"6" description:"time from the request to end until the process is killed, 1 to 600 s"`
 	LogLevel     string  `long:"log-level" env:"FULMAR_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"lowest level that is logged"`
 	LogLines     int     `long:"log-lines" env:"FULMAR_LOG_LINES" default:"50" description:"lines a second on single flows, 1 to 100000; further ones are counted"`
@@ -78,6 +80,9 @@
 			return setting.NewError(s.File, name, fmt.Sprint(value), "500 to 60000")
 		}
 	}
+	if s.UpstreamHeartbeat < 100 || s.UpstreamHeartbeat > 60_000 {
+		return setting.NewError(s.File, "upstream-heartbeat-ms", fmt.Sprint(s.UpstreamHeartbeat), "100 to 60000")
+	}
 	if _, err := s.seedAddresses(); err != nil {
 		return err
 	}
@@ -122,6 +127,11 @@
 	return time.Duration(min(s.ConfigurationBound, s.DrainBound)) * time.Millisecond
 }
 
+// heartbeatInterval returns the time between two reports of an upstream to the store.
+func (s *Settings) heartbeatInterval() time.Duration {
+	return time.Duration(s.UpstreamHeartbeat) * time.Millisecond
+}
+
 // seedAddresses returns the IP addresses of the seeds, or a *setting.Error.
 func (s *Settings) seedAddresses() ([]netip.Addr, error) {
 	var seeds []netip.Addr
--- a/inband/reset_proof_test.go
+++ b/inband/reset_proof_test.go
@@ -80,3 +80,75 @@
 	h.listedAt = h.now
 	h.Expect(h.decide(second).Action).To(Equal(inband.ActionReset))
 }
+
+// incarnation returns an upstream that started again under its ID at a time by its clock.
+func incarnation(id string, startedAt int64) *catalog.Upstream {
+	u := upstream(id, "bindery", "schuur")
+	u.StartedAt, u.Key = startedAt, catalog.IncarnationKey(id, startedAt)
+	return u
+}
+
+// Guards against a reset of flows that an upstream accepted after it had started again under its ID, but
+// before this daemon read its new entry (review/3). The flow is opened with the state of the earlier
+// incarnation. It goes on at the daemon that opened it and at one that started later and never saw that state.
+func TestFlowOnRestartedUpstreamGoesOn(t *testing.T) {
+	h := newHarness(t, incarnation("a", 1))
+	h.catalog.RecordWrittenAfter(h.now)
+	h.advance(10 * time.Second)
+	h.validate()
+	p, _ := h.open(unsafeAddress)
+	h.advance(200 * time.Millisecond)
+	h.catalog.ApplyChanges([]*catalog.Upstream{incarnation("a", 2)}, nil, nil)
+	h.validate()
+	for range 3 {
+		h.advance(3 * time.Second)
+		h.listedAt = h.now
+		v := h.decide(withData(p))
+		h.Expect(v.Action).To(Equal(inband.ActionForward), "%s", v.Reason)
+		h.Expect(v.Upstream.StartedAt).To(Equal(int64(2)))
+		p.Sequence, p.Acknowledged = p.Sequence+200, p.Acknowledged+600
+		h.decide(p)
+		h.Expect(h.steerer.TakeEndedFlows()).To(BeEmpty())
+	}
+	h.catalog = catalog.New(func() time.Time { return h.now })
+	h.catalog.SetConfiguration(newConfiguration(1, "bindery"))
+	h.catalog.SetUpstreams([]*catalog.Upstream{incarnation("a", 2)})
+	h.restart()
+	h.listedAt = h.now.Add(time.Hour)
+	h.Expect(h.decide(withData(p)).Action).To(Equal(inband.ActionForward))
+}
+
+// Guards against a reset of a flow that an upstream accepted after its entry had expired and it had started
+// again: the removal of the entry of the earlier incarnation says nothing about the latest.
+func TestFlowOpenedBeforeReregistrationGoesOn(t *testing.T) {
+	h := newHarness(t, incarnation("a", 1))
+	p, _ := h.open(unsafeAddress)
+	h.catalog.ApplyChanges(nil, []string{"a"}, nil)
+	h.advance(time.Second)
+	h.catalog.ApplyChanges([]*catalog.Upstream{incarnation("a", 2)}, nil, nil)
+	h.advance(catalog.ReregistrationGrace)
+	h.validate()
+	h.Expect(h.decide(withData(p)).Action).To(Equal(inband.ActionForward))
+	h.Expect(h.steerer.TakeEndedFlows()).To(BeEmpty())
+}
+
+// Guards against callers that lose their next request on a flow that was certainly open before its upstream
+// started again: they are reset proactively, and their packets are answered by a reset.
+func TestFlowsOlderThanRestartEnd(t *testing.T) {
+	h := newHarness(t, incarnation("a", 1))
+	idle, _ := h.open(unsafeAddress)
+	active, _ := h.open(unsafeAddress)
+	h.advance(5 * time.Second)
+	h.catalog.RecordWrittenAfter(h.now.Add(-time.Second))
+	recent, _ := h.open(unsafeAddress)
+	h.catalog.ApplyChanges([]*catalog.Upstream{incarnation("a", 2)}, nil, nil)
+	h.validate()
+	v := h.decide(withData(active))
+	h.Expect(v.Action).To(Equal(inband.ActionReset))
+	h.Expect(v.Reason).To(Equal(inband.ReasonUpstreamRestarted))
+	h.Expect(v.OpenFor).To(Equal(5 * time.Second))
+	h.advance(time.Second)
+	h.Expect(h.decide(withData(recent)).Action).To(Equal(inband.ActionForward), "it may belong to the latest incarnation")
+	h.Expect(h.steerer.TakeEndedFlows()).To(ConsistOf(SatisfyAll(
+		HaveField("Flow", idle.Flow), HaveField("Reason", inband.ReasonUpstreamRestarted))))
+}
--- a/inband/steerer.go
+++ b/inband/steerer.go
@@ -258,15 +258,18 @@
 	}
 	status := snapshot.RegistrationStatus(u.Key, s.options.Freshness.UpstreamsValidatedAt())
 	f := s.flows[p.Flow]
-	if status == catalog.StatusDeregistered {
-		s.removeFlow(p.Flow)
-		v := refuse(p, u, ReasonUpstreamDeregistered)
+	if ended := endedBy(f, u, status); ended != ReasonNone {
+		v := refuse(p, u, ended)
 		v.OpenFor = f.openFor(now)
+		s.removeFlow(p.Flow)
 		return v
 	}
-	if f == nil || f.upstream.Key != u.Key {
+	switch {
+	case f == nil || f.upstream.ID != u.ID:
 		f = &flow{upstream: u}
 		s.addFlow(p.Flow, f)
+	case f.upstream.Key != u.Key:
+		s.moveFlow(f, u, now)
 	}
 	if f.isFinished {
 		f.lastSeen = now
@@ -287,6 +290,20 @@
 	return v
 }
 
+// endedBy returns the reason for which a flow to an upstream has certainly ended at the upstream, or
+// ReasonNone. u is the upstream's latest incarnation, and f is nil if the flow is new to this daemon. A flow
+// that may belong to the latest incarnation goes on: if it does not, the upstream itself resets it.
+func endedBy(f *flow, u *catalog.Upstream, status catalog.RegistrationStatus) Reason {
+	switch {
+	case status == catalog.StatusDeregistered:
+		return ReasonUpstreamDeregistered
+	case f != nil && f.upstream.ID == u.ID && f.isOpen && !f.isFinished && u.StartedAfter(f.openSince):
+		return ReasonUpstreamRestarted
+	default:
+		return ReasonNone
+	}
+}
+
 // forwardOpen returns the verdict on a packet of an open flow. The reason is that for a registered upstream.
 func forwardOpen(u *catalog.Upstream, status catalog.RegistrationStatus, r Reason) Verdict {
 	if status == catalog.StatusMissing {
@@ -408,7 +425,26 @@
 func (s *Steerer) addFlow(key wire.FlowKey, f *flow) {
 	s.removeFlow(key)
 	s.flows[key] = f
-	s.flowsByUpstream[f.upstream.Key]++
+	s.countFlow(f.upstream.Key, 1)
+}
+
+// moveFlow assigns a flow to the latest incarnation of its upstream. What the flow showed of the earlier one
+// is no evidence on the latest.
+func (s *Steerer) moveFlow(f *flow, u *catalog.Upstream, now time.Time) {
+	if !f.isFinished {
+		s.countFlow(f.upstream.Key, -1)
+		s.countFlow(u.Key, 1)
+		s.updateBusyCount(f.upstream.Key, f.isBusy, false)
+		s.updateBusyCount(u.Key, false, f.isBusy)
+	}
+	f.upstream, f.retransmissions, f.sentAt, f.requestedAt = u, 0, now, time.Time{}
+}
+
+// countFlow adds to the number of an upstream's unfinished flows.
+func (s *Steerer) countFlow(upstream uint64, n int) {
+	if s.flowsByUpstream[upstream] += n; s.flowsByUpstream[upstream] <= 0 {
+		delete(s.flowsByUpstream, upstream)
+	}
 }
 
 // removeFlow removes a flow from the table, if it is there, and updates the counts of its upstream.
@@ -427,9 +463,7 @@
 		return
 	}
 	s.updateBusyCount(f.upstream.Key, f.isBusy, false)
-	if s.flowsByUpstream[f.upstream.Key]--; s.flowsByUpstream[f.upstream.Key] <= 0 {
-		delete(s.flowsByUpstream, f.upstream.Key)
-	}
+	s.countFlow(f.upstream.Key, -1)
 	f.isFinished, f.isBusy, f.requestedAt = true, false, time.Time{}
 }
 
@@ -478,7 +512,7 @@
 	}
 }
 
-// sweepFlows removes idle and finished flows, and ends the flows of deregistered upstreams.
+// sweepFlows removes idle and finished flows, and ends those that have certainly ended at their upstreams.
 func (s *Steerer) sweepFlows(snapshot *catalog.Snapshot, now time.Time) {
 	idleTimeout := defaultIdleTimeout
 	if snapshot.Config != nil && snapshot.Config.IdleTimeout > 0 {
@@ -489,8 +523,22 @@
 		switch {
 		case now.Sub(f.lastSeen) > idleTimeout, f.isFinished && now.Sub(f.lastSeen) > finishedRetention:
 			s.removeFlow(key)
-		case f.isOpen && !f.isFinished && snapshot.RegistrationStatus(f.upstream.Key, validatedAt) == catalog.StatusDeregistered:
-			s.endFlow(key, f, ReasonUpstreamDeregistered, now)
+		case f.isOpen && !f.isFinished:
+			s.checkUpstream(snapshot, key, f, validatedAt, now)
 		}
 	}
 }
+
+// checkUpstream ends an open flow that has certainly ended at its upstream, and assigns it to the latest
+// incarnation of the upstream otherwise.
+func (s *Steerer) checkUpstream(snapshot *catalog.Snapshot, key wire.FlowKey, f *flow, validatedAt, now time.Time) {
+	u := snapshot.Latest(f.upstream.ID)
+	if u == nil {
+		return
+	}
+	if ended := endedBy(f, u, snapshot.RegistrationStatus(u.Key, validatedAt)); ended != ReasonNone {
+		s.endFlow(key, f, ended, now)
+	} else if u.Key != f.upstream.Key {
+		s.moveFlow(f, u, now)
+	}
+}
--- a/inband/verdict.go
+++ b/inband/verdict.go
@@ -49,6 +49,8 @@
 	ReasonUpstreamsUnvalidated
 	ReasonUnknownToken
 	ReasonUpstreamDeregistered
+	// ReasonUpstreamRestarted means that the flow was open before its upstream started again.
+	ReasonUpstreamRestarted
 	ReasonUpstreamDead
 	ReasonNotReady
 	// ReasonCount is the number of reasons.
@@ -59,7 +61,7 @@
 func (r Reason) String() string {
 	return [...]string{
 		"none", "placed", "placed_again", "open", "missing_upstream", "no_route", "route_unconfirmed",
-		"no_upstream", "upstreams_unconfirmed", "unknown_token", "upstream_gone", "upstream_dead", "not_ready",
+		"no_upstream", "upstreams_unconfirmed", "unknown_token", "upstream_gone", "upstream_restarted", "upstream_dead", "not_ready",
 	}[r]
 }
 
