Find the upstream of any number of tokens after a change of routes

With 4,096 cached searches the daemon searched no more, and took a token that it had not looked up for one that names no upstream.

The first 12 bits of a token depend on the ID only.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -1,7 +1,7 @@
 package catalog
 
 import (
-	"iter"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -54,9 +54,10 @@
 
 	registered   map[uint64]*Upstream
 	deregistered map[uint64]deregistered
-	// ready holds the upstreams of each service that accept new flows, and steerable all of its
-	// upstreams, including the deregistered ones.
-	ready, steerable map[string][]*Upstream
+	// ready holds the upstreams of each service that accept new flows.
+	ready map[string][]*Upstream
+	// byToken holds all upstreams, including the deregistered ones.
+	byToken tokenIndex
 	// latest holds the latest incarnation of each upstream by ID, registered or not.
 	latest map[string]*Upstream
 	// lapsed holds the upstreams of each service that accepted new flows when their entries vanished.
@@ -95,26 +96,24 @@
 	return slices.Concat(ready, missing)
 }
 
-// Steerable returns the upstreams of a service to which packets of open flows may be steered. They
-// include the upstreams that were deregistered within deregisteredRetention.
-func (s *Snapshot) Steerable(service string) []*Upstream { return s.steerable[service] }
+// ByToken returns the upstream that a token identifies at a service address, or nil. The upstream may
+// belong to a service that the route does not contain any more, and there may be no route at the address
+// in this snapshot: open flows stay on their upstreams when the services of a route change, the route may
+// have been added just now, and the token is evidence that a daemon placed the flow for this address.
+// Upstreams that were deregistered within deregisteredRetention are included.
+func (s *Snapshot) ByToken(address netip.AddrPort, token uint32) *Upstream {
+	return s.byToken.find(address, token)
+}
+
+// IsAmbiguous reports whether the token of u at an address belongs to another upstream, so that packets of
+// new flows to u would be steered to that upstream.
+func (s *Snapshot) IsAmbiguous(address netip.AddrPort, u *Upstream) bool {
+	return s.byToken.isAmbiguous(address, u)
+}
 
 // UpstreamCount returns the number of registered upstreams.
 func (s *Snapshot) UpstreamCount() int { return len(s.registered) }
 
-// All returns the upstreams of all services, including the deregistered ones.
-func (s *Snapshot) All() iter.Seq[*Upstream] {
-	return func(yield func(*Upstream) bool) {
-		for _, list := range s.steerable {
-			for _, u := range list {
-				if !yield(u) {
-					return
-				}
-			}
-		}
-	}
-}
-
 // Latest returns the latest incarnation of the upstream with an ID, registered or not, or nil.
 func (s *Snapshot) Latest(id string) *Upstream { return s.latest[id] }
 
@@ -237,7 +236,7 @@
 // put registers an upstream in place of an earlier incarnation with the same ID. The caller holds c.mu.
 func (c *Catalog) put(u *Upstream) {
 	next := *u
-	next.warmAt = c.now().Add(u.ColdRemaining)
+	next.warmAt, next.prefix = c.now().Add(u.ColdRemaining), u.tokenPrefix()
 	previous, writtenAfter := c.upstreams[u.ID], c.writtenAfter
 	if d, found := c.deregistered[u.ID]; found {
 		previous, writtenAfter = d.upstream, d.writtenAfter
@@ -279,12 +278,11 @@
 		Config: c.config, UpstreamsListed: c.upstreamsListed,
 		registered:   make(map[uint64]*Upstream, len(c.upstreams)),
 		deregistered: make(map[uint64]deregistered, len(c.deregistered)),
-		ready:        map[string][]*Upstream{}, steerable: map[string][]*Upstream{}, lapsed: map[string][]*Upstream{},
+		ready:        map[string][]*Upstream{}, lapsed: map[string][]*Upstream{},
 		latest: make(map[string]*Upstream, len(c.upstreams)),
 	}
 	for _, u := range c.upstreams {
 		s.registered[u.Key], s.latest[u.ID] = u, u
-		s.steerable[u.Service] = append(s.steerable[u.Service], u)
 		if u.State == StateReady {
 			s.ready[u.Service] = append(s.ready[u.Service], u)
 		}
@@ -298,10 +296,10 @@
 			continue
 		}
 		s.deregistered[d.upstream.Key], s.latest[id] = d, d.upstream
-		s.steerable[d.upstream.Service] = append(s.steerable[d.upstream.Service], d.upstream)
 		if d.upstream.State == StateReady {
 			s.lapsed[d.upstream.Service] = append(s.lapsed[d.upstream.Service], d.upstream)
 		}
 	}
+	s.byToken = newTokenIndex(maps.Values(s.latest), len(s.latest))
 	c.current.Store(s)
 }
--- a/catalog/types.go
+++ b/catalog/types.go
@@ -43,6 +43,8 @@
 	ColdRemaining time.Duration
 	// warmAt is the end of the slow start by this daemon's clock, derived from ColdRemaining.
 	warmAt time.Time
+	// prefix is the result of tokenPrefix.
+	prefix uint16
 	// startedAfter is a time by this daemon's clock after which this incarnation started, the zero time
 	// if none is known.
 	startedAfter time.Time
@@ -68,20 +70,33 @@
 // Token returns the token that packets of the upstream's flows to a service address carry. All
 // daemons compute the same value. The token names the upstream by its ID and no incarnation: the
 // daemon that places a flow cannot know which incarnation accepts it, since an upstream that starts
-// again under its ID registers later than it listens. The token is bound to the address, so that the
-// token of a flow to one service is invalid at another service's address. It is never 0, the value in
-// packets without a token. Callers do not know the IDs of upstreams, so they can only guess a token,
-// with a chance of 1 in 2^32 for each upstream.
+// again under its ID registers later than it listens.
+//
+// The first tokenPrefixBits bits depend on the ID only, so that few upstreams have to be compared to find
+// that of a token. The others also depend on the address, so that the token of a flow to one service is
+// invalid at another service's address. A token is never 0, the value in packets without a token. Callers
+// do not know the IDs of upstreams, so they can only guess a token, with a chance of 1 in 2^32 for each
+// upstream, or of 1 in 2^20 for an upstream to which they have a flow at another address.
 func (u *Upstream) Token(address netip.AddrPort) uint32 {
 	b := append(make([]byte, 0, typicalIDBytes+6), u.ID...)
 	ip := address.Addr().As4()
 	b = append(b, ip[:]...)
 	b = binary.BigEndian.AppendUint16(b, address.Port())
-	return max(uint32(xxhash.Sum64(b)), 1)
+	const addressBits = 32 - tokenPrefixBits
+	return max(uint32(u.tokenPrefix())<<addressBits|uint32(xxhash.Sum64(b))&(1<<addressBits-1), 1)
 }
 
-// typicalIDBytes is a length that most IDs of upstreams do not exceed.
-const typicalIDBytes = 32
+const (
+	// tokenPrefixBits is the number of bits of a token that depend on the upstream's ID only.
+	tokenPrefixBits = 12
+	// typicalIDBytes is a length that most IDs of upstreams do not exceed.
+	typicalIDBytes = 32
+)
+
+// tokenPrefix returns the first bits of the upstream's tokens.
+func (u *Upstream) tokenPrefix() uint16 {
+	return uint16(xxhash.Sum64String(u.ID) >> (64 - tokenPrefixBits))
+}
 
 // RequestKind determines whether a failed request may be retried.
 type RequestKind uint8
--- a/inband/reset_proof_test.go
+++ b/inband/reset_proof_test.go
@@ -1,6 +1,7 @@
 package inband_test
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/fulmarfield/fulmarfield/catalog"
 	"github.com/fulmarfield/fulmarfield/inband"
 	"github.com/fulmarfield/fulmarfield/platform"
+	"github.com/fulmarfield/fulmarfield/wire"
 )
 
 var addedAddress = netip.MustParseAddrPort("198.18.0.3:8443")
@@ -152,3 +154,72 @@
 	h.Expect(h.steerer.TakeEndedFlows()).To(ConsistOf(SatisfyAll(
 		HaveField("Flow", idle.Flow), HaveField("Reason", inband.ReasonUpstreamRestarted))))
 }
+
+// Guards against resets that a bound on memory or work causes (review/1): after one change of the services of
+// all routes, a daemon that has just started must find the upstreams of more flows than any cache of single
+// lookups holds.
+func TestFlowsSurviveChangeOfAllRoutes(t *testing.T) {
+	const routes, upstreams = 1160, 6
+	configuration := func(version int64, service string) *catalog.Configuration {
+		c := &catalog.Configuration{Version: version, Routes: map[netip.AddrPort]*catalog.Route{}}
+		for i := range routes {
+			address := netip.AddrPortFrom(safeAddress.Addr(), uint16(i+1))
+			c.Routes[address] = &catalog.Route{Address: address, Targets: []catalog.Target{{Service: service, Weight: 1}}}
+		}
+		return c
+	}
+	list := []*catalog.Upstream{upstream("g", "galerij", "schuur")}
+	for i := range upstreams {
+		list = append(list, upstream(fmt.Sprint(i), "bindery", "schuur"))
+	}
+	h := newHarness(t, list...)
+	h.catalog.SetConfiguration(configuration(2, "bindery"))
+	h.catalog.SetConfiguration(configuration(3, "galerij"))
+	h.restart()
+	h.listedAt = h.now.Add(time.Hour)
+	for i := range routes * upstreams {
+		address := netip.AddrPortFrom(safeAddress.Addr(), uint16(i/upstreams+1))
+		id := fmt.Sprint(i % upstreams)
+		v := h.decide(withData(platform.Packet{Flow: h.newFlowKey(address), Token: h.token(id, address), Sequence: 1,
+			Acknowledged: 100, Acknowledges: true}))
+		h.Expect(v.Action).To(Equal(inband.ActionForward), "flow %d: %s", i, v.Reason)
+		h.Expect(v.Upstream.ID).To(Equal(id))
+	}
+}
+
+// Measures the first packet of each flow after a change of all routes at the design size, and the longest one,
+// for docs/CAPACITY.md.
+func BenchmarkFirstPacketAfterChangeOfRoutes(b *testing.B) {
+	const flows, routes, upstreams = 33_000, 5600, 5000
+	h := newHarness(&testing.T{})
+	c := newConfiguration(2, "bindery")
+	for i := range routes {
+		address := netip.AddrPortFrom(downloadAddress.Addr(), uint16(i+1))
+		c.Routes[address] = &catalog.Route{Address: address, Targets: []catalog.Target{{Service: "galerij", Weight: 1}}}
+	}
+	var list []*catalog.Upstream
+	for i := range upstreams {
+		list = append(list, upstream(fmt.Sprint(i), "bindery", "schuur"))
+	}
+	packets := make([]platform.Packet, flows)
+	for i := range packets {
+		key := wire.FlowKey{CallerIP: uint32(i), ServiceIP: 0xC6120002, CallerPort: 1, ServicePort: uint16(i%routes + 1)}
+		packets[i] = platform.Packet{Flow: key, Token: list[i%upstreams].Token(key.Service()), Sequence: 1, Acknowledges: true}
+	}
+	var longest time.Duration
+	for b.Loop() {
+		h.restart()
+		h.catalog.SetUpstreams(list)
+		c.Version++
+		h.catalog.SetConfiguration(c)
+		for _, p := range packets {
+			began := time.Now()
+			if v := h.decide(p); v.Action != inband.ActionForward {
+				b.Fatal(v.Reason)
+			}
+			longest = max(longest, time.Since(began))
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/flows, "ns/packet")
+	b.ReportMetric(float64(longest.Microseconds()), "longest-us")
+}
--- a/inband/steerer.go
+++ b/inband/steerer.go
@@ -87,7 +87,6 @@
 	flowsByUpstream map[uint64]int
 	// busyByUpstream is the number of those flows on which a request waits for a response.
 	busyByUpstream map[uint64]int
-	tokenIndex     tokenIndex
 	tracker        *suspicion.Tracker
 	detector       *outlier.Detector
 	responses      *responses
@@ -221,7 +220,7 @@
 	s.candidates = s.candidates[:0]
 	service := placement.ChooseService(route.Targets, s.options.Random.Float64())
 	for _, u := range snapshot.Placeable(service, s.options.Freshness.UpstreamsValidatedAt()) {
-		if s.tokenIndex.isAmbiguous(snapshot, route.Address, u) {
+		if snapshot.IsAmbiguous(route.Address, u) {
 			continue
 		}
 		s.candidates = append(s.candidates, placement.Candidate{
@@ -241,7 +240,7 @@
 
 // steer forwards a packet of an open flow to the upstream that its token identifies.
 func (s *Steerer) steer(snapshot *catalog.Snapshot, p platform.Packet, now time.Time) Verdict {
-	u := s.tokenIndex.find(snapshot, p.Flow.Service(), p.Token)
+	u := snapshot.ByToken(p.Flow.Service(), p.Token)
 	if u == nil {
 		return s.steerUnknownToken(snapshot, p, now)
 	}
