--- a/inband/reset_proof_test.go
+++ b/inband/reset_proof_test.go
@@ -223,3 +223,20 @@
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/flows, "ns/packet")
 	b.ReportMetric(float64(longest.Microseconds()), "longest-us")
 }
+
+// Guards against a reset by a snapshot with the freshness of a newer one: the upstream registers again, and the
+// records are validated, after the daemon has begun to decide on a packet.
+func TestFreshnessIsThatOfTheSnapshot(t *testing.T) {
+	h := newHarness(t, upstream("a", "bindery", "schuur"))
+	p, u := h.open(unsafeAddress)
+	h.catalog.ApplyChanges(nil, []string{"a"}, nil)
+	h.advance(time.Second)
+	h.decide(withData(p))
+	h.advance(catalog.ReregistrationGrace)
+	h.beforeFreshness = func() {
+		h.catalog.ApplyChanges([]*catalog.Upstream{u}, nil, nil)
+		h.validate()
+	}
+	h.Expect(h.decide(withData(p)).Action).To(Equal(inband.ActionForward))
+	h.Expect(h.steerer.TakeEndedFlows()).To(BeEmpty())
+}
--- a/inband/steerer.go
+++ b/inband/steerer.go
@@ -153,24 +153,44 @@
 // Decide returns how to handle a packet.
 func (s *Steerer) Decide(p platform.Packet, now time.Time) Verdict {
 	s.maintain(now)
-	snapshot := s.options.Catalog.Current()
+	known := s.readState()
 	switch {
-	case !snapshot.IsComplete():
+	case !known.IsComplete():
 		return drop(ReasonNotReady)
 	case p.Opens:
-		return s.open(snapshot, p, now)
+		return s.open(known, p, now)
 	default:
-		return s.steer(snapshot, p, now)
+		return s.steer(known, p, now)
 	}
 }
 
+// state is what is known of the store when a decision is taken.
+type state struct {
+	*catalog.Snapshot
+	// upstreamsValidatedAt is when the upstreams were last known to be the latest.
+	upstreamsValidatedAt time.Time
+}
+
+// status returns the registration status of an upstream.
+func (s state) status(u *catalog.Upstream) catalog.RegistrationStatus {
+	return s.RegistrationStatus(u.Key, s.upstreamsValidatedAt)
+}
+
+// readState reads the freshness before the snapshot: changes that are applied in between can only make the
+// snapshot newer than its freshness says. The other way round, a flow could be ended by an old snapshot with
+// the freshness of a newer one.
+func (s *Steerer) readState() state {
+	validatedAt := s.options.Freshness.UpstreamsValidatedAt()
+	return state{s.options.Catalog.Current(), validatedAt}
+}
+
 // open handles an opening packet and places its flow on an upstream. A retransmission of the packet is
 // evidence against the upstream that did not respond, and is therefore placed on another one.
-func (s *Steerer) open(snapshot *catalog.Snapshot, p platform.Packet, now time.Time) Verdict {
+func (s *Steerer) open(known state, p platform.Packet, now time.Time) Verdict {
 	isRetransmission := p.Acknowledged != 0
 	f := s.flows[p.Flow]
 	if f != nil && !f.isOpen {
-		if !isRetransmission && snapshot.AcceptsFlows(f.upstream.Key) {
+		if !isRetransmission && known.AcceptsFlows(f.upstream.Key) {
 			f.lastSeen = now
 			return forward(f.upstream, ReasonPlacedAgain)
 		}
@@ -178,7 +198,7 @@
 			s.tracker.RecordOpenRetransmission(f.upstream.Key, f.lastSeen, now)
 		}
 	}
-	route := snapshot.Route(p.Flow.Service())
+	route := known.Route(p.Flow.Service())
 	if route == nil {
 		if now.Sub(s.options.Freshness.ConfigValidatedAt()) >
 			time.Duration(maxStalenessShare*float64(s.options.PropagationBound)) {
@@ -186,7 +206,7 @@
 		}
 		return reset(ReasonNoRoute)
 	}
-	u := s.chooseUpstream(snapshot, route, now)
+	u := s.chooseUpstream(known, route, now)
 	if u == nil {
 		return s.refuseOpen(route, now)
 	}
@@ -216,11 +236,11 @@
 }
 
 // chooseUpstream returns the upstream of a new flow, or nil if no upstream of the route accepts one.
-func (s *Steerer) chooseUpstream(snapshot *catalog.Snapshot, route *catalog.Route, now time.Time) *catalog.Upstream {
+func (s *Steerer) chooseUpstream(known state, route *catalog.Route, now time.Time) *catalog.Upstream {
 	s.candidates = s.candidates[:0]
 	service := placement.ChooseService(route.Targets, s.options.Random.Float64())
-	for _, u := range snapshot.Placeable(service, s.options.Freshness.UpstreamsValidatedAt()) {
-		if snapshot.IsAmbiguous(route.Address, u) {
+	for _, u := range known.Placeable(service, known.upstreamsValidatedAt) {
+		if known.IsAmbiguous(route.Address, u) {
 			continue
 		}
 		s.candidates = append(s.candidates, placement.Candidate{
@@ -239,15 +259,15 @@
 }
 
 // steer forwards a packet of an open flow to the upstream that its token identifies.
-func (s *Steerer) steer(snapshot *catalog.Snapshot, p platform.Packet, now time.Time) Verdict {
-	u := snapshot.ByToken(p.Flow.Service(), p.Token)
+func (s *Steerer) steer(known state, p platform.Packet, now time.Time) Verdict {
+	u := known.ByToken(p.Flow.Service(), p.Token)
 	if u == nil {
-		return s.steerUnknownToken(snapshot, p, now)
+		return s.steerUnknownToken(known.Snapshot, p, now)
 	}
 	reason, isRepeated := ReasonOpen, false
-	if snapshot.Route(p.Flow.Service()) == nil {
+	if known.Route(p.Flow.Service()) == nil {
 		var isRemoved bool
-		if isRemoved, isRepeated = s.steerWithoutRoute(snapshot, p, now); isRemoved {
+		if isRemoved, isRepeated = s.steerWithoutRoute(known.Snapshot, p, now); isRemoved {
 			s.removeFlow(p.Flow)
 			return refuse(p, u, ReasonNoRoute)
 		}
@@ -255,7 +275,7 @@
 	} else if len(s.unresolvedFlows) > 0 {
 		delete(s.unresolvedFlows, unresolvedFlow{p.Flow, p.Token})
 	}
-	status := snapshot.RegistrationStatus(u.Key, s.options.Freshness.UpstreamsValidatedAt())
+	status := known.status(u)
 	f := s.flows[p.Flow]
 	if ended := endedBy(f, u, status); ended != ReasonNone {
 		v := refuse(p, u, ended)
@@ -275,9 +295,9 @@
 		return forwardOpen(u, status, reason)
 	}
 	openLatency := f.openLatency(now)
-	isDead := s.recordPacket(snapshot, f, p, now)
+	isDead := s.recordPacket(known.Snapshot, f, p, now)
 	// Only callers whose requests are retryable are reset, since they retry on a new flow.
-	if isDead && isRetryable(snapshot, p.Flow) {
+	if isDead && isRetryable(known.Snapshot, p.Flow) {
 		s.removeFlow(p.Flow)
 		return refuse(p, u, ReasonUpstreamDead)
 	}
@@ -494,48 +514,47 @@
 		return
 	}
 	s.lastSweep = now
-	snapshot := s.options.Catalog.Current()
-	s.sweepFlows(snapshot, now)
+	known := s.readState()
+	s.sweepFlows(known, now)
 	for key, since := range s.unresolvedFlows {
 		if now.Sub(since) > defaultIdleTimeout {
 			delete(s.unresolvedFlows, key)
 		}
 	}
 	s.tracker.Retain(func(key uint64) bool { return s.flowsByUpstream[key] > 0 || s.tracker.IsSuspect(key, now) })
-	s.detector.Retain(func(key uint64) bool { return snapshot.Upstream(key) != nil }, snapshot.UpstreamCount(), now)
-	s.responses.retain(snapshot)
+	s.detector.Retain(func(key uint64) bool { return known.Upstream(key) != nil }, known.UpstreamCount(), now)
+	s.responses.retain(known.Snapshot)
 	for address := range s.withoutUpstreamSince {
-		if snapshot.Route(address) == nil {
+		if known.Route(address) == nil {
 			delete(s.withoutUpstreamSince, address)
 		}
 	}
 }
 
 // sweepFlows removes idle and finished flows, and ends those that have certainly ended at their upstreams.
-func (s *Steerer) sweepFlows(snapshot *catalog.Snapshot, now time.Time) {
+func (s *Steerer) sweepFlows(known state, now time.Time) {
 	idleTimeout := defaultIdleTimeout
-	if snapshot.Config != nil && snapshot.Config.IdleTimeout > 0 {
-		idleTimeout = snapshot.Config.IdleTimeout
+	if known.Config != nil && known.Config.IdleTimeout > 0 {
+		idleTimeout = known.Config.IdleTimeout
 	}
-	validatedAt := s.options.Freshness.UpstreamsValidatedAt()
 	for key, f := range s.flows {
 		switch {
 		case now.Sub(f.lastSeen) > idleTimeout, f.isFinished && now.Sub(f.lastSeen) > finishedRetention:
 			s.removeFlow(key)
 		case f.isOpen && !f.isFinished:
-			s.checkUpstream(snapshot, key, f, validatedAt, now)
+			s.checkUpstream(known, key, f, now)
 		}
 	}
 }
 
 // checkUpstream ends an open flow that has certainly ended at its upstream, and assigns it to the latest
 // incarnation of the upstream otherwise.
-func (s *Steerer) checkUpstream(snapshot *catalog.Snapshot, key wire.FlowKey, f *flow, validatedAt, now time.Time) {
-	u := snapshot.Latest(f.upstream.ID)
+func (s *Steerer) checkUpstream(known state, key wire.FlowKey, f *flow, now time.Time) {
+	u := known.Latest(f.upstream.ID)
 	if u == nil {
 		return
 	}
-	if ended := endedBy(f, u, snapshot.RegistrationStatus(u.Key, validatedAt)); ended != ReasonNone {
+	if ended := endedBy(f, u, known.status(u)); ended != ReasonNone {
 		s.endFlow(key, f, ended, now)
 	} else if u.Key != f.upstream.Key {
 		s.moveFlow(f, u, now)
--- a/inband/steerer_test.go
+++ b/inband/steerer_test.go
@@ -34,10 +34,18 @@
 	listedAt             time.Time
 	steerer              *inband.Steerer
 	nextPort             uint16
+	// beforeFreshness, if it is set, is called once when the Steerer reads the freshness.
+	beforeFreshness func()
 }
 
-func (h *harness) ConfigValidatedAt() time.Time              { return h.configValidatedAt }
-func (h *harness) UpstreamsValidatedAt() time.Time           { return h.upstreamsValidatedAt }
+func (h *harness) ConfigValidatedAt() time.Time { return h.configValidatedAt }
+func (h *harness) UpstreamsValidatedAt() time.Time {
+	if hook := h.beforeFreshness; hook != nil {
+		h.beforeFreshness = nil
+		hook()
+	}
+	return h.upstreamsValidatedAt
+}
 func (h *harness) UpstreamsListedSince(t time.Time) bool     { return h.listedAt.After(t) }
 func (h *harness) ConfigValidatedSince(t time.Time) bool     { return h.configValidatedAt.After(t) }
 func (h *harness) advance(d time.Duration)                   { h.now = h.now.Add(d) }
