Restart the grace period of missing upstreams after each outage of the store

A related path: a flow of a missing upstream was reset 2.5 s after this daemon first saw that the entry was missing, also if the store was unavailable again meanwhile, so that the upstream could not register.

The grace period begins again with the first validation after a failed call or a watch that broke off. Upstreams that were deregistered before stay so. TestGraceRestartsAfterEachOutage (own list, advertisement, watch) fails in all three forms without the restart.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -233,6 +233,22 @@
 	}
 }
 
+// RestartGrace begins the grace period of the missing upstreams again. It is called after the store was
+// unavailable: upstreams that still run could not register again meanwhile. validatedAt is when the records
+// were last validated before; upstreams that were deregistered then remain so.
+func (c *Catalog) RestartGrace(validatedAt time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	for id, d := range c.deregistered {
+		if validatedAt.Sub(d.since) < ReregistrationGrace {
+			d.since = now
+			c.deregistered[id] = d
+		}
+	}
+	c.publish()
+}
+
 // put registers an upstream in place of an earlier incarnation with the same ID. The caller holds c.mu.
 func (c *Catalog) put(u *Upstream) {
 	next := *u
--- a/discovery/advertisements.go
+++ b/discovery/advertisements.go
@@ -23,6 +23,9 @@
 		return false
 	}
 	before, asOf := k.freshness.validatedAt, k.recordCache.asOf
+	if ad.Digest == k.recordCache.digest() {
+		s.endOutageLocked(ad.Kind, ad.ValidatedAt)
+	}
 	k.freshness.handleAdvertisement(ad, k.recordCache)
 	if k.recordCache.asOf > asOf {
 		notify(s.advanced[ad.Kind])
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -116,6 +116,9 @@
 	// listRequested marks the kinds that must be listed from the store, however fresh their cached
 	// records are.
 	listRequested map[store.Kind]bool
+	// unavailableSince is when the store was first found unavailable after the upstreams were last
+	// validated, the zero time if it was not.
+	unavailableSince time.Time
 	// onValidated is called without the lock after a record set has validated the cached records.
 	onValidated func()
 }
@@ -171,12 +174,34 @@
 // recordFailure records that the store did not respond.
 func (s *Syncer) recordFailure(kind store.Kind, err error) {
 	s.options.Counters.Count("retry.store_" + string(kind))
+	if !s.breaker.isOpen() {
+		s.recordUnavailable()
+	}
 	if s.breaker.trip(time.Now(), s.daemonCount()) {
 		s.options.Logger.Warn().Str("event", "store_lost").Str("kind", string(kind)).
 			Dur("confirmed_ago_ms", time.Since(s.ValidatedAt(kind))).Err(err).Send()
 	}
 }
 
+// recordUnavailable records that the store became unavailable.
+func (s *Syncer) recordUnavailable() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.unavailableSince.IsZero() {
+		s.unavailableSince = time.Now()
+	}
+}
+
+// endOutageLocked is called before a validation of the upstreams takes effect. If it is the first one after
+// the store was unavailable, the grace period of missing upstreams begins again. The caller holds s.mu.
+func (s *Syncer) endOutageLocked(kind store.Kind, validatedAt time.Time) {
+	if kind != platform.KindUpstreams || s.unavailableSince.IsZero() || !validatedAt.After(s.unavailableSince) {
+		return
+	}
+	s.unavailableSince = time.Time{}
+	s.options.Catalog.RestartGrace(s.kinds[kind].freshness.validatedAt)
+}
+
 // requestListLocked requests an immediate list of a kind. The caller holds s.mu.
 func (s *Syncer) requestListLocked(kind store.Kind) {
 	s.listRequested[kind] = true
--- a/discovery/list_test.go
+++ b/discovery/list_test.go
@@ -157,3 +157,62 @@
 	ad.ValidatedAt = validatedAt.Add(time.Second)
 	g.Expect(syncer.HandleAdvertisement(ad)).To(BeTrue())
 }
+
+// Guards against resets of flows whose upstreams still run: their entries expired in an outage of the store, and
+// a second outage soon afterwards kept them from registering again (found by the independent review).
+func TestGraceRestartsAfterEachOutage(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// lose makes the second outage known to the Syncer.
+		lose func(*Syncer)
+		// validate validates the records without the entry at the present time.
+		validate func(*Syncer)
+	}{
+		{"own list", func(s *Syncer) { s.recordFailure(platform.KindUpstreams, store.ErrUnavailable) }, func(s *Syncer) {
+			s.recordSuccess()
+			s.applyRecordSet(platform.KindUpstreams, completeListAt(time.Now(), 9), true)
+		}},
+		{"advertisement", func(s *Syncer) { s.recordFailure(platform.KindUpstreams, store.ErrUnavailable) }, func(s *Syncer) {
+			ad := s.Advertisements()[0]
+			ad.ValidatedAt = time.Now()
+			s.HandleAdvertisement(ad)
+		}},
+		{"watch", func(s *Syncer) { s.recordUnavailable() }, func(s *Syncer) {
+			s.applyRecordSet(platform.KindUpstreams, completeListAt(time.Now(), 9), false)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				known := catalog.New(time.Now)
+				syncer := NewSyncer(Options{Store: &pagedStore{}, Catalog: known, Counters: telemetry.NewCounters(), Logger: zerolog.Nop()})
+				entry := store.Record{Name: "i-a1", Version: 5, Body: []byte(
+					`{"service":"s","address":"127.0.0.1:80","zone":"z","version":"v1","slots":2,"state":"ready","cold_remaining_ms":0,"seq":4,"born":1}`)}
+				syncer.applyRecordSet(platform.KindUpstreams, completeListAt(time.Now(), 5, entry), true)
+				status := func() catalog.RegistrationStatus {
+					return known.Current().RegistrationStatus(catalog.IncarnationKey("i-a1", 1), syncer.UpstreamsValidatedAt())
+				}
+				syncer.applyRecordSet(platform.KindUpstreams, completeListAt(time.Now(), 9), true)
+				time.Sleep(800 * time.Millisecond)
+				c.lose(syncer)
+				time.Sleep(2 * time.Second)
+				c.validate(syncer)
+				g.Expect(status()).To(Equal(catalog.StatusMissing))
+				time.Sleep(catalog.ReregistrationGrace)
+				c.validate(syncer)
+				g.Expect(status()).To(Equal(catalog.StatusDeregistered))
+				c.lose(syncer)
+				time.Sleep(time.Second)
+				c.validate(syncer)
+				g.Expect(status()).To(Equal(catalog.StatusDeregistered), "it was before the outage")
+			})
+		})
+	}
+}
+
+// completeListAt returns a complete list that is the latest at a time.
+func completeListAt(at time.Time, asOf int, records ...store.Record) RecordSet {
+	rs := completeList(asOf, records...)
+	rs.ValidatedAt = at
+	return rs
+}
--- a/discovery/revalidate.go
+++ b/discovery/revalidate.go
@@ -210,6 +210,7 @@
 	s.mu.Lock()
 	k := s.kinds[kind]
 	isFirst := !k.isLoaded()
+	s.endOutageLocked(kind, rs.ValidatedAt)
 	k.freshness.recordList(rs.ValidatedAt)
 	if fromStore {
 		k.freshness.listedAt = rs.ValidatedAt
--- a/discovery/watch.go
+++ b/discovery/watch.go
@@ -18,6 +18,7 @@
 // bound in any case.
 func (s *Syncer) watch(ctx context.Context, kind store.Kind) error {
 	delays := s.newWatchBackoff()
+	isFailing := false
 	for {
 		s.mu.Lock()
 		after, isLoaded := s.kinds[kind].recordCache.asOf, s.kinds[kind].isLoaded()
@@ -50,12 +51,17 @@
 			if wasOpen {
 				s.recordFailure(kind, err)
 			}
+			if !isFailing {
+				isFailing = true
+				s.recordUnavailable()
+			}
 			delays.MaxInterval = maxPause(s.daemonCount())
 			if err := wait.For(ctx, delays.NextBackOff()); err != nil {
 				return err
 			}
 		default:
 			delays.Reset()
+			isFailing = false
 			s.recordSuccess()
 			if s.applyChanges(kind, c) == 0 {
 				continue
