Count copies that waited together as one retransmission

Copies that are received within 150 ms of the one before (callers wait 200 ms and more) are no evidence any more, since this daemon delayed one of them.

TestCopiesThatWaitedTogether fails on the code before (the second copy is answered by a reset).

--- a/inband/flow.go
+++ b/inband/flow.go
@@ -24,8 +24,8 @@
 	retransmissions int
 	// isBusy is set while a request of the caller waits for a response.
 	isBusy bool
-	// sentAt is when this daemon first received the byte at dataStart.
-	sentAt time.Time
+	// sentAt is when this daemon first received the byte at dataStart, and resentAt when it last did.
+	sentAt, resentAt time.Time
 	// requestedAt is when the present request began. It is the zero time if none is in progress, or
 	// if the response time of the present one is not measured.
 	requestedAt time.Time
@@ -98,7 +98,7 @@
 	end := p.Sequence + uint32(p.PayloadBytes)
 	if f.dataEnd == 0 || int32(end-f.dataEnd) > 0 {
 		if observed == eventProgress || f.dataEnd == 0 || p.Sequence == f.dataStart {
-			f.dataStart, f.sentAt = p.Sequence, now
+			f.dataStart, f.sentAt, f.resentAt = p.Sequence, now, now
 		}
 		f.dataEnd = end
 		return observed
@@ -106,10 +106,20 @@
 	if observed == eventProgress {
 		return observed
 	}
-	if p.Sequence == f.dataStart {
-		f.retransmissions++
-	} else {
-		f.dataStart, f.retransmissions, f.sentAt = p.Sequence, 1, now
+	if p.Sequence != f.dataStart {
+		f.dataStart, f.retransmissions, f.sentAt, f.resentAt = p.Sequence, 1, now, now
+		return eventRetransmission
 	}
+	sincePrevious := now.Sub(f.resentAt)
+	f.resentAt = now
+	if sincePrevious < minCopyInterval {
+		return eventNone
+	}
+	f.retransmissions++
 	return eventRetransmission
 }
+
+// minCopyInterval is the shortest time between two copies of the same data as its caller sends them: 200 ms,
+// less variations of the network. Copies that are received sooner after one another waited together on this
+// VM, so that the upstream had no time to respond to the earlier one.
+const minCopyInterval = 150 * time.Millisecond
--- a/inband/reset_proof_test.go
+++ b/inband/reset_proof_test.go
@@ -240,3 +240,20 @@
 	h.Expect(h.decide(withData(p)).Action).To(Equal(inband.ActionForward))
 	h.Expect(h.steerer.TakeEndedFlows()).To(BeEmpty())
 }
+
+// Guards against a reset of a repeatable request after this daemon stood still (review/5): the first answer was lost,
+// and both retransmissions waited together, so that the upstream had no time to respond to the first of them.
+func TestCopiesThatWaitedTogether(t *testing.T) {
+	h := newHarness(t, upstream("a", "bindery", "schuur"))
+	p, _ := h.open(safeAddress)
+	p = withData(p)
+	h.advance(time.Second)
+	h.Expect(h.decide(p).Action).To(Equal(inband.ActionForward))
+	h.advance(620 * time.Millisecond)
+	for range 3 {
+		h.Expect(h.decide(p).Action).To(Equal(inband.ActionForward))
+		h.advance(2 * time.Millisecond)
+	}
+	h.advance(780 * time.Millisecond)
+	h.Expect(h.decide(p).Action).To(Equal(inband.ActionReset), "no response to a copy that was forwarded 780 ms ago")
+}
--- a/inband/steerer.go
+++ b/inband/steerer.go
@@ -456,7 +456,7 @@
 		s.updateBusyCount(f.upstream.Key, f.isBusy, false)
 		s.updateBusyCount(u.Key, false, f.isBusy)
 	}
-	f.upstream, f.retransmissions, f.sentAt, f.requestedAt = u, 0, now, time.Time{}
+	f.upstream, f.retransmissions, f.sentAt, f.resentAt, f.requestedAt = u, 0, now, now, time.Time{}
 }
 
 // countFlow adds to the number of an upstream's unfinished flows.
