Catch signals before a daemon reads its settings, and go on without a log reader

Signals are caught first, and SIGPIPE is ignored, so that the lines are lost and the daemon goes on. Milliseconds in which the runtime starts remain.

--- a/edge/app.go
+++ b/edge/app.go
@@ -83,6 +83,11 @@
 // Main runs the daemon with the given arguments and returns the exit status: 0 after a graceful
 // shutdown, 1 after a failure, 2 for an invalid setting.
 func Main(args []string) int {
+	// Signals are caught before anything else, since SIGHUP would end the process until then. Without SIGPIPE,
+	// the lines of a log whose reader has gone are lost, and the daemon goes on.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
 	settings, err := ParseSettings(args)
 	if errors.Is(err, setting.ErrHelp) {
 		return exitOK
@@ -91,8 +96,6 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitBadSettings
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	zerolog.TimeFieldFormat = timeFormat
 	output := newAsyncWriter(os.Stdout)
 	defer output.flush(flushTimeout)
