Decide on resets of open flows in one place, with the proof that each rests on

The four places that answered a packet of an open flow by a reset, each with its own idea of proof, are one function without input or output: evidence.ending. Log lines of resets have the proof in words.

--- a/edge/packets.go
+++ b/edge/packets.go
@@ -182,7 +182,7 @@
 		if l.allowLine(now) {
 			l.logger.Info().Str("event", eventFlowEnded).Stringer("flow", e.Flow).Stringer("reason", e.Reason).
 				Str("upstream", e.Upstream.ID).Str("zone", e.Upstream.Zone).Int64("started_at", e.Upstream.StartedAt).
-				Dur("open_for_ms", e.OpenFor).Send()
+				Dur("open_for_ms", e.OpenFor).Str("proof", e.Reason.Proof()).Send()
 		}
 		l.sendBuffer = platform.AppendReset(l.sendBuffer[:0], e.Flow, e.Acknowledged)
 		l.recordSendError(e.Flow, l.conn.Send(platform.CallerAddress(e.Flow, l.conn.LocalAddr().Port()), l.sendBuffer), now)
@@ -254,9 +254,9 @@
 		Stringer("action", v.Action).Stringer("reason", v.Reason).Uint32("token", p.Token)
 	if v.Upstream != nil {
 		line = line.Str("upstream", v.Upstream.ID).Str("zone", v.Upstream.Zone).Int64("started_at", v.Upstream.StartedAt)
-		if v.Action == inband.ActionReset {
-			line = line.Dur("open_for_ms", v.OpenFor)
-		}
+	}
+	if v.Action == inband.ActionReset && !p.Opens {
+		line = line.Dur("open_for_ms", v.OpenFor).Str("proof", v.Reason.Proof())
 	}
 	snapshot := l.catalog.Current()
 	if c := snapshot.Config; c != nil {
--- a/inband/steerer.go
+++ b/inband/steerer.go
@@ -258,82 +258,67 @@
 	return u
 }
 
-// steer forwards a packet of an open flow to the upstream that its token identifies.
+// steer forwards a packet of an open flow to the upstream that its token identifies, unless the flow has
+// ended. Another daemon may have read the entry of the upstream, or the route, earlier than this one: without
+// the upstream the packet is dropped until there is evidence, without the route the flow goes on.
 func (s *Steerer) steer(known state, p platform.Packet, now time.Time) Verdict {
-	u := known.ByToken(p.Flow.Service(), p.Token)
-	if u == nil {
-		return s.steerUnknownToken(known.Snapshot, p, now)
-	}
-	reason, isRepeated := ReasonOpen, false
-	if known.Route(p.Flow.Service()) == nil {
-		var isRemoved bool
-		if isRemoved, isRepeated = s.steerWithoutRoute(known.Snapshot, p, now); isRemoved {
-			s.removeFlow(p.Flow)
-			return refuse(p, u, ReasonNoRoute)
-		}
-		reason = ReasonRouteUnvalidated
-	} else if len(s.unresolvedFlows) > 0 {
-		delete(s.unresolvedFlows, unresolvedFlow{p.Flow, p.Token})
+	e, isWaiting, hasWaited := s.gather(known, p, now)
+	if r := e.ending(); r != ReasonNone {
+		return s.end(p, e, r, now)
 	}
-	status := known.status(u)
-	f := s.flows[p.Flow]
-	if ended := endedBy(f, u, status); ended != ReasonNone {
-		v := refuse(p, u, ended)
-		v.OpenFor = f.openFor(now)
-		s.removeFlow(p.Flow)
+	if e.upstream == nil {
+		v := drop(ReasonUnknownToken)
+		v.IsRepeated = hasWaited
 		return v
 	}
-	switch {
-	case f == nil || f.upstream.ID != u.ID:
-		f = &flow{upstream: u}
-		s.addFlow(p.Flow, f)
-	case f.upstream.Key != u.Key:
-		s.moveFlow(f, u, now)
-	}
+	f := s.trackFlow(p.Flow, e, now)
 	if f.isFinished {
 		f.lastSeen = now
-		return forwardOpen(u, status, reason)
+		return forwardOpen(e, isWaiting)
 	}
 	openLatency := f.openLatency(now)
-	isDead := s.recordPacket(known.Snapshot, f, p, now)
+	e.flow, e.isSilent = f, s.recordPacket(known, f, p, now)
 	// Only callers whose requests are retryable are reset, since they retry on a new flow.
-	if isDead && isRetryable(known.Snapshot, p.Flow) {
-		s.removeFlow(p.Flow)
-		return refuse(p, u, ReasonUpstreamDead)
+	e.mayEndSilent = isRetryable(known, p.Flow)
+	if r := e.ending(); r != ReasonNone {
+		return s.end(p, e, r, now)
 	}
 	if p.Finishes || p.Resets {
 		s.finishFlow(f)
 	}
-	v := forwardOpen(u, status, reason)
-	v.OpenLatency, v.IsRepeated = openLatency, isRepeated
+	v := forwardOpen(e, isWaiting)
+	v.OpenLatency, v.IsRepeated = openLatency, hasWaited
 	return v
 }
 
-// endedBy returns the reason for which a flow to an upstream has certainly ended at the upstream, or
-// ReasonNone. u is the upstream's latest incarnation, and f is nil if the flow is new to this daemon. A flow
-// that may belong to the latest incarnation goes on: if it does not, the upstream itself resets it.
-func endedBy(f *flow, u *catalog.Upstream, status catalog.RegistrationStatus) Reason {
+// trackFlow returns the state of an open flow, which it creates if the flow is new to this daemon.
+func (s *Steerer) trackFlow(key wire.FlowKey, e evidence, now time.Time) *flow {
+	f := e.flow
 	switch {
-	case status == catalog.StatusDeregistered:
-		return ReasonUpstreamDeregistered
-	case f != nil && f.upstream.ID == u.ID && f.isOpen && !f.isFinished && u.StartedAfter(f.openSince):
-		return ReasonUpstreamRestarted
-	default:
-		return ReasonNone
+	case f == nil || f.upstream.ID != e.upstream.ID:
+		f = &flow{upstream: e.upstream}
+		s.addFlow(key, f)
+	case f.upstream.Key != e.upstream.Key:
+		s.moveFlow(f, e.upstream, now)
 	}
+	return f
 }
 
-// forwardOpen returns the verdict on a packet of an open flow. The reason is that for a registered upstream.
-func forwardOpen(u *catalog.Upstream, status catalog.RegistrationStatus, r Reason) Verdict {
-	if status == catalog.StatusMissing {
-		return forward(u, ReasonMissingUpstream)
+// forwardOpen returns the verdict on a packet of an open flow.
+func forwardOpen(e evidence, lacksRoute bool) Verdict {
+	switch {
+	case e.status == catalog.StatusMissing:
+		return forward(e.upstream, ReasonMissingUpstream)
+	case lacksRoute:
+		return forward(e.upstream, ReasonRouteUnvalidated)
+	default:
+		return forward(e.upstream, ReasonOpen)
 	}
-	return forward(u, r)
 }
 
 // recordPacket updates the state of an open flow and the evidence on its upstream with a packet. It
 // reports whether the packet carries data to which the upstream will not respond.
-func (s *Steerer) recordPacket(snapshot *catalog.Snapshot, f *flow, p platform.Packet, now time.Time) bool {
+func (s *Steerer) recordPacket(known state, f *flow, p platform.Packet, now time.Time) bool {
 	upstream := f.upstream.Key
 	wasBusy := f.isBusy
 	observed := f.observe(p, now)
@@ -347,99 +332,12 @@
 		wasDead := s.tracker.IsDead(upstream, now)
 		isDead = s.tracker.RecordRetransmission(upstream, p.Flow.Hash(), f.retransmissions, f.sentAt, now)
 		if !wasDead && s.tracker.IsDead(upstream, now) {
-			s.endIdleFlows(snapshot, upstream, now)
+			s.endIdleFlows(known, upstream, now)
 		}
 	}
 	return isDead || p.PayloadBytes > 0 && s.tracker.IsDead(upstream, now)
 }
 
-// endIdleFlows ends the idle flows of an upstream that does not respond, and those on which a retryable
-// request that the upstream has acknowledged is in progress.
-func (s *Steerer) endIdleFlows(snapshot *catalog.Snapshot, upstream uint64, now time.Time) {
-	for key, f := range s.flows {
-		if f.upstream.Key == upstream && (f.isIdle(now) || f.isQuiet(now) && isRetryable(snapshot, key)) {
-			s.endFlow(key, f, ReasonUpstreamDead, now)
-		}
-	}
-}
-
-// isRetryable reports whether callers may retry the requests of a flow's route.
-func isRetryable(snapshot *catalog.Snapshot, key wire.FlowKey) bool {
-	route := snapshot.Route(key.Service())
-	return route != nil && route.Kind.IsRetryable()
-}
-
-// endFlow removes a flow, and records it for a proactive reset of its caller.
-func (s *Steerer) endFlow(key wire.FlowKey, f *flow, r Reason, now time.Time) {
-	s.endedFlows = append(s.endedFlows,
-		EndedFlow{Flow: key, Acknowledged: f.acknowledged, Upstream: f.upstream, Reason: r, OpenFor: f.openFor(now)})
-	s.removeFlow(key)
-}
-
-// steerUnknownToken handles a packet whose token identifies no upstream in the catalog. Another daemon
-// may have read the entry of the upstream, or the route, earlier than this one. Therefore the caller is
-// reset only if a state of the store that is later than the first such packet of the flow contains no
-// such upstream or no such route either.
-func (s *Steerer) steerUnknownToken(snapshot *catalog.Snapshot, p platform.Packet, now time.Time) Verdict {
-	since, status := s.recordUnresolved(p, now)
-	if status == notTracked {
-		return drop(ReasonUnknownToken)
-	}
-	if s.isRouteRemoved(snapshot, p, since) {
-		s.removeFlow(p.Flow)
-		return refuse(p, nil, ReasonNoRoute)
-	}
-	if !s.options.Freshness.UpstreamsListedSince(since) || !s.isCurrent(snapshot) {
-		v := drop(ReasonUnknownToken)
-		v.IsRepeated = status == alreadyTracked
-		return v
-	}
-	s.removeFlow(p.Flow)
-	return refuse(p, nil, ReasonUnknownToken)
-}
-
-// steerWithoutRoute reports whether the route of an open flow to a known upstream was removed, so that the
-// flow has to end. As long as this daemon may only be late to read the route, the flow goes on.
-func (s *Steerer) steerWithoutRoute(snapshot *catalog.Snapshot, p platform.Packet, now time.Time) (isRemoved, isRepeated bool) {
-	since, status := s.recordUnresolved(p, now)
-	return status != notTracked && s.isRouteRemoved(snapshot, p, since), status == alreadyTracked
-}
-
-// isRouteRemoved reports whether a flow that was open at a time has no route in a later configuration.
-func (s *Steerer) isRouteRemoved(snapshot *catalog.Snapshot, p platform.Packet, openAt time.Time) bool {
-	return snapshot.Route(p.Flow.Service()) == nil && s.options.Freshness.ConfigValidatedSince(openAt) &&
-		s.isCurrent(snapshot)
-}
-
-// isCurrent reports whether the catalog still holds the snapshot. Freshness that was read after the
-// snapshot describes the snapshot only if it does.
-func (s *Steerer) isCurrent(snapshot *catalog.Snapshot) bool {
-	return s.options.Catalog.Current() == snapshot
-}
-
-// trackingStatus is whether a flow is in the table of unresolved flows.
-type trackingStatus uint8
-
-const (
-	// notTracked means that the table is full.
-	notTracked trackingStatus = iota
-	newlyTracked
-	alreadyTracked
-)
-
-// recordUnresolved returns the time of the first packet of a flow whose upstream or route is unknown.
-func (s *Steerer) recordUnresolved(p platform.Packet, now time.Time) (time.Time, trackingStatus) {
-	key := unresolvedFlow{p.Flow, p.Token}
-	if since, seen := s.unresolvedFlows[key]; seen {
-		return since, alreadyTracked
-	}
-	if len(s.unresolvedFlows) >= maxUnresolvedFlows {
-		return time.Time{}, notTracked
-	}
-	s.unresolvedFlows[key] = now
-	return now, newlyTracked
-}
-
 // addFlow adds a flow to the table, in place of an earlier one with the same key.
 func (s *Steerer) addFlow(key wire.FlowKey, f *flow) {
 	s.removeFlow(key)
@@ -546,17 +444,3 @@
 		}
 	}
 }
-
-// checkUpstream ends an open flow that has certainly ended at its upstream, and assigns it to the latest
-// incarnation of the upstream otherwise.
-func (s *Steerer) checkUpstream(known state, key wire.FlowKey, f *flow, now time.Time) {
-	u := known.Latest(f.upstream.ID)
-	if u == nil {
-		return
-	}
-	if ended := endedBy(f, u, known.status(u)); ended != ReasonNone {
-		s.endFlow(key, f, ended, now)
-	} else if u.Key != f.upstream.Key {
-		s.moveFlow(f, u, now)
-	}
-}
--- a/inband/verdict.go
+++ b/inband/verdict.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/fulmarfield/fulmarfield/catalog"
-	"github.com/fulmarfield/fulmarfield/platform"
 )
 
 // Action is the way in which a packet is handled.
@@ -65,6 +64,17 @@
 	}[r]
 }
 
+// Proof returns what shows that a flow has ended for the reason, empty for a reason that ends no open flow.
+func (r Reason) Proof() string {
+	return map[Reason]string{
+		ReasonNoRoute:              "a later configuration has no route",
+		ReasonUnknownToken:         "a later list has no such upstream",
+		ReasonUpstreamDeregistered: "the entry was missing for the grace period in validated lists",
+		ReasonUpstreamRestarted:    "the flow was open before the upstream's process can have started",
+		ReasonUpstreamDead:         "several copies of data got no response, on any flow",
+	}[r]
+}
+
 // Verdict is the decision on a packet.
 type Verdict struct {
 	Action Action
@@ -88,14 +98,3 @@
 func forward(u *catalog.Upstream, r Reason) Verdict {
 	return Verdict{Action: ActionForward, Reason: r, Upstream: u}
 }
-
-// refuse returns the verdict on a packet of a flow that has ended: a reset, unless the packet itself
-// is a reset.
-func refuse(p platform.Packet, u *catalog.Upstream, r Reason) Verdict {
-	v := reset(r)
-	if p.Resets {
-		v = drop(r)
-	}
-	v.Upstream = u
-	return v
-}
