Decode only the routes that changed in a new configuration

A daemon that reads a configuration of 1 MB decodes 5,847 routes for each change of one: 32 ms on one core here. Routes whose JSON form did not change are taken from the version before, and the text is scanned instead of parsed.

--- a/discovery/apply.go
+++ b/discovery/apply.go
@@ -102,7 +102,7 @@
 // applyConfiguration puts a configuration in force. It refuses an invalid one and ignores an older one,
 // each with a log line.
 func (s *Syncer) applyConfiguration(r store.Record, origin string) {
-	c, skipped, err := platform.DecodeConfiguration(r)
+	c, skipped, err := s.decoder.Decode(r)
 	if err != nil {
 		s.options.Counters.CountDrop("configuration")
 		s.options.Logger.Error().Str("event", "configuration_refused").Uint64("version", uint64(r.Version)).Err(err).Send()
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -122,8 +122,9 @@
 
 	// mu is not held during calls of peers, whose lock may be held by a caller of the Syncer. It is released
 	// by unlock.
-	mu    sync.Mutex
-	kinds map[store.Kind]*kindState
+	mu      sync.Mutex
+	kinds   map[store.Kind]*kindState
+	decoder platform.ConfigurationDecoder
 	// unavailableSince is when the store was first found unavailable after the upstreams were last
 	// validated, the zero time if it was not.
 	unavailableSince time.Time
