End a flow whose upstream is silent on it alone only after three unanswered copies

Cause: two lost datagrams on one flow, while its upstream has little traffic at this daemon, are two retransmissions without a response, and one flow was enough.

Alone, a flow now counts as dead after three unanswered copies (1.4 s); with another stalled flow of the upstream after two (0.6 s), as before.

--- a/suspicion/suspicion.go
+++ b/suspicion/suspicion.go
@@ -20,9 +20,12 @@
 	// packet causes one retransmission on one flow.
 	minStalledFlows = 2
 	// RetransmissionsUntilDead is the number of retransmissions from which on a flow counts as dead
-	// if its upstream makes no progress on other flows either. Callers send the second one 600 ms
-	// after the data.
+	// if its upstream makes no progress on other flows either, and another flow is stalled, too. Callers
+	// send the second one 600 ms after the data.
 	RetransmissionsUntilDead = 2
+	// RetransmissionsUntilDeadAlone is that number if no other flow is stalled. Two lost datagrams cause
+	// two retransmissions. Callers send the third one 1.4 s after the data.
+	RetransmissionsUntilDeadAlone = 3
 	// minRetransmissionDelay and minSecondRetransmissionDelay are the shortest times from data to
 	// its first and second retransmission at which the retransmission is evidence on the upstream.
 	// Callers send them after 200 ms and 600 ms; those that arrive sooner were queued on this VM
@@ -165,7 +168,7 @@
 		}
 		e.deadUntil = now.Add(deadDuration)
 	}
-	return isFlowDead
+	return isFlowDead && (len(e.stalledFlows) >= minStalledFlows || count >= RetransmissionsUntilDeadAlone)
 }
 
 // Retain drops the evidence on upstreams for which keep returns false.
