Reset flows of deregistered upstreams only if the list is newer than the flow

A related path, found by asking of each reset whether its proof is newer than the flow: a daemon that had read that an upstream is gone, and not yet that it registered again, reset flows which another daemon had opened on it since, at their first packet here.

A flow that this daemon did not know to be open before the validation is forwarded, a list is requested, and the flow ends when a list that is newer than its first packet here lacks the upstream, too.

TestDeregistrationIsNewerThanTheFlow fails on the code before (upstream_gone at the first packet). TestLatePacketOfEarlierFlowOnReusedPort demanded a reset at the first late packet; it now demands that the packet reaches its own upstream only, and the reset after a newer list.

--- a/inband/ending.go
+++ b/inband/ending.go
@@ -19,8 +19,8 @@
 	// isRouteRemoved means that a configuration which was the latest after the first packet of this flow
 	// without a route has no route either.
 	isRouteRemoved bool
-	// isUnlisted means that a list of upstreams which was complete after the first packet of this flow to
-	// an unknown upstream contains none either.
+	// isUnlisted means that a list of upstreams which was complete after the flow was known to be open
+	// contains none that is registered.
 	isUnlisted bool
 	// isSilent means that the upstream responds neither to the data of this flow nor on others.
 	isSilent bool
@@ -39,7 +39,7 @@
 		return ReasonUnknownToken
 	case e.upstream == nil:
 		return ReasonNone
-	case e.status == catalog.StatusDeregistered:
+	case e.status == catalog.StatusDeregistered && e.isUnlisted:
 		return ReasonUpstreamDeregistered
 	case e.isOlderThanRestart():
 		return ReasonUpstreamRestarted
@@ -57,6 +57,17 @@
 	return f != nil && f.isOpen && !f.isFinished && f.upstream.ID == e.upstream.ID && e.upstream.StartedAfter(f.openSince)
 }
 
+// isOlderThan reports whether the flow was known to be open before the upstreams were validated, so that the
+// records show its upstream as it was afterwards. Another flow to the same ID may have been opened later,
+// through a daemon that has read a newer entry.
+func (e evidence) isOlderThan(validatedAt time.Time) bool {
+	f := e.flow
+	return f != nil && f.isOpen && f.upstream.ID == e.upstream.ID && validatedAt.Sub(f.openSince) >= validationMargin
+}
+
+// validationMargin is by how much the time of a validation that comes from another daemon may be too late.
+const validationMargin = 300 * time.Millisecond
+
 // gather returns the evidence on the flow of a packet. It also reports whether the flow waits for evidence that
 // is not there yet, and whether it already did at an earlier packet.
 func (s *Steerer) gather(known state, p platform.Packet, now time.Time) (e evidence, isWaiting, hasWaited bool) {
@@ -65,7 +76,9 @@
 		e.status = known.status(e.upstream)
 	}
 	hasRoute := known.Route(p.Flow.Service()) != nil
-	if hasRoute && e.upstream != nil {
+	isRegistered := e.upstream != nil && e.status != catalog.StatusDeregistered
+	e.isUnlisted = e.upstream != nil && e.isOlderThan(known.upstreamsValidatedAt)
+	if hasRoute && (isRegistered || e.isUnlisted) {
 		if len(s.unresolvedFlows) > 0 {
 			delete(s.unresolvedFlows, unresolvedFlow{p.Flow, p.Token})
 		}
@@ -78,7 +91,7 @@
 	if !hasRoute {
 		e.isRouteRemoved = s.options.Freshness.ConfigValidatedSince(since) && s.isCurrent(known)
 	}
-	if e.upstream == nil && !e.isRouteRemoved {
+	if !isRegistered && !e.isUnlisted && !e.isRouteRemoved {
 		e.isUnlisted = s.options.Freshness.UpstreamsListedSince(since) && s.isCurrent(known)
 	}
 	return e, true, status == alreadyTracked
@@ -153,6 +166,7 @@
 		return
 	}
 	e := evidence{flow: f, upstream: u, status: known.status(u)}
+	e.isUnlisted = e.isOlderThan(known.upstreamsValidatedAt)
 	if r := e.ending(); r != ReasonNone {
 		s.endFlow(key, f, r, now)
 	} else if u.Key != f.upstream.Key {
--- a/inband/reset_proof_test.go
+++ b/inband/reset_proof_test.go
@@ -260,3 +260,26 @@
 	h.advance(780 * time.Millisecond)
 	h.Expect(h.decide(p).Action).To(Equal(inband.ActionReset), "no response to a copy that was forwarded 780 ms ago")
 }
+
+// Guards against a reset by a daemon that has not read yet that an upstream registered again after seconds: the
+// flow was opened through another daemon, after the list from which the upstream was missing.
+func TestDeregistrationIsNewerThanTheFlow(t *testing.T) {
+	h := newHarness(t, upstream("a", "bindery", "schuur"))
+	known, _ := h.open(unsafeAddress)
+	h.catalog.ApplyChanges(nil, []string{"a"}, nil)
+	h.advance(catalog.ReregistrationGrace)
+	h.validate()
+	moved := withData(platform.Packet{Flow: h.newFlowKey(unsafeAddress), Token: h.token("a", unsafeAddress), Sequence: 1,
+		Acknowledged: 100, Acknowledges: true})
+	v := h.decide(moved)
+	h.Expect(v.Action).To(Equal(inband.ActionForward), "%s", v.Reason)
+	h.Expect(v.Reason).To(Equal(inband.ReasonMissingUpstream))
+	h.Expect(h.steerer.TakeEndedFlows()).To(ConsistOf(HaveField("Flow", known.Flow)), "it was open before the list")
+	h.advance(200 * time.Millisecond)
+	h.Expect(h.decide(moved).Action).To(Equal(inband.ActionForward))
+	h.listedAt = h.now
+	h.advance(200 * time.Millisecond)
+	v = h.decide(moved)
+	h.Expect(v.Action).To(Equal(inband.ActionReset))
+	h.Expect(v.Reason).To(Equal(inband.ReasonUpstreamDeregistered))
+}
--- a/inband/steerer.go
+++ b/inband/steerer.go
@@ -307,7 +307,7 @@
 // forwardOpen returns the verdict on a packet of an open flow.
 func forwardOpen(e evidence, lacksRoute bool) Verdict {
 	switch {
-	case e.status == catalog.StatusMissing:
+	case e.status != catalog.StatusRegistered:
 		return forward(e.upstream, ReasonMissingUpstream)
 	case lacksRoute:
 		return forward(e.upstream, ReasonRouteUnvalidated)
--- a/inband/steerer_test.go
+++ b/inband/steerer_test.go
@@ -547,6 +547,9 @@
 	h.catalog.SetUpstreams([]*catalog.Upstream{current})
 	h.advance(catalog.ReregistrationGrace)
 	h.upstreamsValidatedAt = h.now
+	h.Expect(h.decide(withData(late)).Upstream.ID).To(Equal(earlier.ID), "no list is newer than the packet")
+	h.advance(200 * time.Millisecond)
+	h.listedAt = h.now
 	h.Expect(h.decide(withData(late)).Action).To(Equal(inband.ActionReset))
 	v = h.decide(withData(next))
 	h.Expect(v.Action).To(Equal(inband.ActionForward))
--- a/test/orders/caller_test.go
+++ b/test/orders/caller_test.go
@@ -12,6 +12,8 @@
 	requestBytes  = 200
 	responseBytes = 600
 	openTimeout   = 1400 * time.Millisecond
+	// reopenAfter is the time after which a caller whose flow did not open tries again on another one.
+	reopenAfter = 40 * time.Millisecond
 	// requestTimeout is the deadline of a request.
 	requestTimeout = 2 * time.Second
 	firstCopyAfter = 200 * time.Millisecond
@@ -56,6 +58,8 @@
 	upstream *upstream
 	process  *process
 	requests int
+	// number is the route, and tries the number of further flows that are opened if this one is not.
+	number, tries int
 }
 
 func (f *callerFlow) packet() platform.Packet {
@@ -81,8 +85,14 @@
 }
 
 func (f *callerFlow) close() {
+	if f.isClosed {
+		return
+	}
 	f.isClosed = true
 	delete(f.world.flows, f.key)
+	if !f.isOpen && f.tries > 0 {
+		f.world.after(reopenAfter, func() { f.world.openFlow(f.number, f.tries-1) })
+	}
 }
 
 // receive handles a packet from an upstream or a reset from a daemon.
