review: serve the store with lagging watches in the stand-ins

The stand-in store returns data that is seconds old to the watches of chosen daemons, which stale_ok allows.

--- a/review/_standin-2/world.go
+++ b/review/_standin-2/world.go
@@ -1,8 +1,8 @@
 package main
 
 import (
+	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -33,6 +33,8 @@
 	heartbeat    = 1200 * time.Millisecond
 	graceSeconds = 6
 	requestWork  = 30 * time.Millisecond
+	// staleness is the age of what lagging replicas of the store return to watches.
+	staleness    = 2 * time.Second
 	storeLatency = 4 * time.Millisecond
 	probePeriod  = 500 * time.Millisecond
 	probeTimeout = 250 * time.Millisecond
@@ -171,13 +173,7 @@
 	if err != nil {
 		return nil, err
 	}
-	handler := w.store.Handler()
-	go func() {
-		_ = http.Serve(listener, http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-			time.Sleep(storeLatency)
-			handler.ServeHTTP(rw, r)
-		}))
-	}()
+	go func() { _ = http.Serve(listener, http.HandlerFunc(w.serveStore)) }()
 	for n := range 14 {
 		if err := w.addEndpoint(n, "bindery"); err != nil {
 			return nil, err
@@ -237,13 +233,6 @@
 	return d.process.Start()
 }
 
-// disturb records a disruption of a daemon.
-func (d *daemon) disturb() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.disturbedAt = time.Now()
-}
-
 // freeze stops a daemon, and wakes it after a time.
 func (w *world) freeze(d *daemon, length time.Duration) {
 	w.log("%s freezes for %.2f s", d.name, length.Seconds())
@@ -440,12 +429,12 @@
 	return nil
 }
 
-// storeProxy forwards the connections of one daemon to the store. Open connections can go silent.
+// storeProxy forwards the connections of one daemon to the store, which knows the daemon by the address of the proxy.
 type storeProxy struct {
 	listener net.Listener
 	target   string
-	mu       sync.Mutex
-	open     []*atomic.Bool
+	// isLagging makes the responses to watches late.
+	isLagging atomic.Bool
 }
 
 func startStoreProxy(a netip.Addr, target string) (*storeProxy, error) {
@@ -466,49 +455,59 @@
 	return p, nil
 }
 
-// silence makes all open connections silent for good, without a reset. New ones work.
-func (p *storeProxy) silence() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, isSilent := range p.open {
-		isSilent.Store(true)
-	}
-	p.open = nil
-}
-
 func (p *storeProxy) forward(client net.Conn) {
 	defer func() { _ = client.Close() }()
-	server, err := net.Dial("tcp4", p.target)
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: p.listener.Addr().(*net.TCPAddr).IP}}
+	server, err := dialer.Dial("tcp4", p.target)
 	if err != nil {
 		return
 	}
 	defer func() { _ = server.Close() }()
-	isSilent := &atomic.Bool{}
-	p.mu.Lock()
-	p.open = append(p.open, isSilent)
-	p.mu.Unlock()
-	go copyUnlessSilent(server, client, isSilent)
-	copyUnlessSilent(client, server, isSilent)
+	go func() {
+		_, _ = io.Copy(server, client)
+		_ = server.Close()
+	}()
+	_, _ = io.Copy(client, server)
 }
 
-func copyUnlessSilent(to, from net.Conn, isSilent *atomic.Bool) {
-	b := make([]byte, 64<<10)
-	for {
-		n, err := from.Read(b)
-		if n > 0 && !isSilent.Load() {
-			if _, err := to.Write(b[:n]); err != nil {
-				return
-			}
-		}
-		if err != nil {
-			if errors.Is(err, io.EOF) && !isSilent.Load() {
-				_ = to.Close()
-			}
-			return
+// serveStore serves a call of a daemon. Watches of lagging daemons return data that is seconds old.
+func (w *world) serveStore(rw http.ResponseWriter, r *http.Request) {
+	lag := storeLatency
+	if r.URL.Query().Has("watch") && r.URL.Query().Get("stale_ok") == "1" && w.isLagging(r.RemoteAddr) {
+		lag = staleness
+	}
+	// A response is complete before it is delayed.
+	buffer := &bufferedResponse{header: rw.Header(), status: http.StatusOK}
+	w.store.Handler().ServeHTTP(buffer, r)
+	time.Sleep(lag)
+	rw.WriteHeader(buffer.status)
+	_, _ = rw.Write(buffer.body.Bytes())
+}
+
+func (w *world) isLagging(remote string) bool {
+	from, err := netip.ParseAddrPort(remote)
+	if err != nil {
+		return false
+	}
+	for _, d := range w.daemons {
+		if d.store != nil && d.store.isLagging.Load() && d.store.listener.Addr().(*net.TCPAddr).AddrPort().Addr().Unmap() == from.Addr().Unmap() {
+			return true
 		}
 	}
+	return false
 }
 
+// bufferedResponse is an http.ResponseWriter that keeps the response.
+type bufferedResponse struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+func (b *bufferedResponse) Header() http.Header            { return b.header }
+func (b *bufferedResponse) WriteHeader(status int)         { b.status = status }
+func (b *bufferedResponse) Write(text []byte) (int, error) { return b.body.Write(text) }
+
 // waitReady waits until all daemons are in rotation and in touch.
 func (w *world) waitReady(ctx context.Context) error {
 	for ctx.Err() == nil {
