review: show that an unreadable entry ends flows on a daemon that starts

A daemon that has just started drops an entry that it can't read, and then takes a list without the upstream for proof that it is not registered.

--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -19,7 +19,7 @@
 	exitNotRun = 2
 )
 
-var cases = map[string]func(ctx context.Context, w *world, trouble bool) int{"frozen-peer": frozenPeer, "late-write": lateWrite, "foreign-entry": foreignEntry}
+var cases = map[string]func(ctx context.Context, w *world, trouble bool) int{"frozen-peer": frozenPeer, "late-write": lateWrite, "foreign-entry": foreignEntry, "unreadable-entry": unreadable}
 
 func main() {
 	name := flag.String("case", "", "name of the case")
--- a/review/_standin-2/world.go
+++ b/review/_standin-2/world.go
@@ -48,10 +48,13 @@
 
 // world holds the stand-ins, the daemons and the record of a run.
 type world struct {
-	began time.Time
-	dir   string
-	block byte
-	ports struct{ packet, ready, peer, endpoint uint16 }
+	began  time.Time
+	dir    string
+	binary string
+	// isPlanned means that the run has planned work, under which FLOW always counts.
+	isPlanned bool
+	block     byte
+	ports     struct{ packet, ready, peer, endpoint uint16 }
 	// guard is bound until the process ends.
 	guard   *net.UDPConn
 	store   *metastore.Store
@@ -162,7 +165,7 @@
 		return nil, err
 	}
 	w := &world{
-		began: time.Now(), dir: dir, store: metastore.New(),
+		began: time.Now(), dir: dir, binary: binary, store: metastore.New(),
 		routes: map[netip.AddrPort]time.Time{}, endpoints: map[netip.Addr]*endpoint{},
 		disturbedAt: map[netip.Addr]time.Time{},
 	}
