--- a/review/_standin-2/flows.go
+++ b/review/_standin-2/flows.go
@@ -93,7 +93,7 @@
 	isInTouch := d.isInTouch(now) && isStoreStable
 	// The endpoint lives, and its process is the one that accepted the flow.
 	isUndisturbed := now.Sub(disturbedAt) > stableWindow && f.openedAt.After(disturbedAt)
-	isBroken := (isInTouch || w.isPlanned) && isUndisturbed && now.Sub(f.openedAt) < flowTTL && now.Sub(f.usedAt) < idleTimeout
+	isBroken := isInTouch && isUndisturbed && now.Sub(f.openedAt) < flowTTL && now.Sub(f.usedAt) < idleTimeout
 	w.log("flow %s to %s on endpoint %s: reset by %s, open for %.3f s, route acknowledged %.3f s ago, in touch: %v, endpoint undisturbed: %v, FLOW broken: %v",
 		f.local, f.service, f.endpoint, d.name, now.Sub(f.openedAt).Seconds(), now.Sub(acknowledged).Seconds(), isInTouch, isUndisturbed, isBroken)
 	if isBroken {
--- a/review/_standin-2/unreadable.go
+++ b/review/_standin-2/unreadable.go
@@ -19,9 +19,8 @@
 
 // unreadable restarts the daemons of a zone in turn, and uses long flows. With trouble, another writer writes bytes that
 // can't be read under the IDs of some endpoints that run, again and again. The endpoints write their own entries at each
-// heartbeat. It is broken if a client gets a reset of an open flow from a daemon.
+// heartbeat. It is broken if a client gets a reset of an open flow from a daemon in touch.
 func unreadable(ctx context.Context, w *world, trouble bool) int {
-	w.isPlanned = true
 	w.addRoutes(0, safeRoute)
 	if err := w.waitReady(ctx); err != nil {
 		w.log("the daemons did not become ready")
--- a/review/_standin-2/world.go
+++ b/review/_standin-2/world.go
@@ -51,10 +51,8 @@
 	began  time.Time
 	dir    string
 	binary string
-	// isPlanned means that the run has planned work, under which FLOW always counts.
-	isPlanned bool
-	block     byte
-	ports     struct{ packet, ready, peer, endpoint uint16 }
+	block  byte
+	ports  struct{ packet, ready, peer, endpoint uint16 }
 	// guard is bound until the process ends.
 	guard   *net.UDPConn
 	store   *metastore.Store
