Log what validated the records on which a reset rests

The lines flow (action reset) and flow_ended now have generation_validated_by and upstreams_validated_by: "store", "advertisement of ADDRESS" or "records of ADDRESS"; flow_ended has upstreams_age_ms, too.

--- a/discovery/advertisements.go
+++ b/discovery/advertisements.go
@@ -100,6 +100,9 @@
 // UpstreamsValidatedAt returns when the upstreams were last known to be the latest.
 func (s *Syncer) UpstreamsValidatedAt() time.Time { return s.ValidatedAt(platform.KindUpstreams) }
 
+// ValidatedBy returns what last showed that the cached records of a kind were the latest.
+func (s *Syncer) ValidatedBy(kind store.Kind) Validation { return s.published[kind].Load().validatedBy }
+
 // ConfigValidatedSince reports whether the configuration was certainly the latest at some time after t, and late
 // enough in the present era of the store for the operator to have written it again. While a configuration of an
 // earlier era is in force instead of the listed one, no list shows what it lacks. It causes no read: within the
--- a/discovery/era_test.go
+++ b/discovery/era_test.go
@@ -223,7 +223,7 @@
 		_, err := second.checkEra(eraResponse{era: 2}, store.ErrRateLimited)
 		g.Expect(err).To(MatchError(store.ErrRateLimited))
 		g.Expect(second.fresherDaemon(platform.KindUpstreams)).To(Equal(ad.From), "a newer era is fresher whatever the time of the list")
-		second.kinds[platform.KindUpstreams].freshness.recordList(time.Now())
+		second.kinds[platform.KindUpstreams].freshness.recordList(time.Now(), netip.Addr{})
 		g.Expect(second.fresherDaemon(platform.KindUpstreams)).To(Equal(ad.From))
 		rs, err := first.Records(platform.KindUpstreams, second.kinds[platform.KindUpstreams].recordCache.buckets[:])
 		g.Expect(err).NotTo(HaveOccurred())
--- a/discovery/freshness.go
+++ b/discovery/freshness.go
@@ -60,11 +60,34 @@
 	From netip.Addr
 }
 
+// Validation is what showed that cached records were the latest at a time. The zero value is a list of the store.
+type Validation struct {
+	// From is the other daemon that stated it, the zero value for a list of the store.
+	From netip.Addr
+	// IsAdvertised is set for an advertisement, which validated equal records. Otherwise the records were read from
+	// that daemon.
+	IsAdvertised bool
+}
+
+// String returns the validation as it is written in log lines.
+func (v Validation) String() string {
+	switch {
+	case !v.From.IsValid():
+		return "store"
+	case v.IsAdvertised:
+		return "advertisement of " + v.From.String()
+	default:
+		return "records of " + v.From.String()
+	}
+}
+
 // freshness is how current a daemon's cached records of one kind are.
 type freshness struct {
 	// validatedAt is the latest time at which the cached records are known to have been the latest;
 	// it is the zero time until they are validated.
 	validatedAt time.Time
+	// validatedBy is what showed so.
+	validatedBy Validation
 	// listedAt is the start of the last complete list that this daemon read from the store.
 	listedAt time.Time
 	// era is the era of the cached records, and eraSince the time of the first validated records of this
@@ -88,10 +111,11 @@
 	fresherAdvertisement Advertisement
 }
 
-// recordList records that a record set was the latest at a time.
-func (f *freshness) recordList(at time.Time) {
+// recordList records that a record set was the latest at a time. from is the daemon that sent it, the zero value for
+// a list of the store.
+func (f *freshness) recordList(at time.Time, from netip.Addr) {
 	if at.After(f.validatedAt) {
-		f.validatedAt = at
+		f.validatedAt, f.validatedBy = at, Validation{From: from}
 	}
 	f.recordEra(at)
 	f.dropStaleAdvertisement()
@@ -117,7 +141,7 @@
 	case ad.Digest == rc.digest():
 		rc.asOf = max(rc.asOf, ad.AsOf)
 		if ad.ValidatedAt.After(f.validatedAt) {
-			f.validatedAt = ad.ValidatedAt
+			f.validatedAt, f.validatedBy = ad.ValidatedAt, Validation{From: ad.From, IsAdvertised: true}
 			rc.validatedVersion = max(rc.validatedVersion, ad.ValidatedVersion)
 			f.recordEra(ad.ValidatedAt)
 		}
--- a/discovery/freshness_test.go
+++ b/discovery/freshness_test.go
@@ -58,7 +58,7 @@
 	g := NewWithT(t)
 	rc, f := newRecordCache(), &freshness{}
 	rc.merge(completeList(1, record("a", 1)), at(0))
-	f.recordList(at(0))
+	f.recordList(at(0), netip.Addr{})
 	rc.apply(store.Changes{AsOf: 9}, at(500))
 	g.Expect(nextReadTime(f, 1)).To(Equal(at(1800)))
 	f.handleAdvertisement(Advertisement{Digest: rc.digest(), AsOf: 9, ValidatedAt: at(1000)}, rc)
@@ -74,7 +74,7 @@
 	g := NewWithT(t)
 	rc, f := newRecordCache(), &freshness{}
 	rc.merge(completeList(5, record("a", 5)), at(0))
-	f.recordList(at(0))
+	f.recordList(at(0), netip.Addr{})
 	f.handleAdvertisement(Advertisement{Digest: rc.digest(), AsOf: 90, ValidatedAt: at(100)}, rc)
 	g.Expect(rc.asOf).To(Equal(store.Version(90)))
 	f.handleAdvertisement(Advertisement{Digest: rc.digest() + 1, AsOf: 95, ValidatedAt: at(200)}, rc)
@@ -113,7 +113,7 @@
 	g := NewWithT(t)
 	rc, f := newRecordCache(), &freshness{}
 	rc.merge(completeList(5, record("a", 5)), at(0))
-	f.recordList(at(0))
+	f.recordList(at(0), netip.Addr{})
 	other := Advertisement{Digest: 1, AsOf: 4, From: netip.MustParseAddr("127.0.0.2")}
 	other.ValidatedAt = at(200)
 	f.handleAdvertisement(other, rc)
@@ -121,7 +121,7 @@
 	other.ValidatedAt = at(700)
 	f.handleAdvertisement(other, rc)
 	g.Expect(nextReadTime(f, 0)).To(Equal(at(700)), "at once, even if some cached records are newer")
-	f.recordList(at(650))
+	f.recordList(at(650), netip.Addr{})
 	g.Expect(nextReadTime(f, 0)).To(Equal(at(1850)), "a later list validated the records")
 	f.handleAdvertisement(Advertisement{Digest: rc.digest(), ValidatedAt: at(900)}, rc)
 	other.ValidatedAt = at(800)
--- a/discovery/revalidate.go
+++ b/discovery/revalidate.go
@@ -240,7 +240,7 @@
 	}
 	s.endOutageLocked(kind, rs.ValidatedAt)
 	changes := s.mergeLocked(kind, rs)
-	k.freshness.recordList(rs.ValidatedAt)
+	k.freshness.recordList(rs.ValidatedAt, rs.From)
 	if fromStore {
 		k.freshness.listedAt = rs.ValidatedAt
 		k.freshness.lacksKept = k.freshness.lacksKept || isFirst && rs.Era != 0
--- a/edge/app.go
+++ b/edge/app.go
@@ -167,6 +167,7 @@
 		lineLimiter:       rateLimiter{perSecond: s.LogLines},
 		validatedAt:       recordSyncer.UpstreamsValidatedAt,
 		configValidatedAt: recordSyncer.ConfigValidatedAt,
+		validatedBy:       recordSyncer.ValidatedBy,
 		steerer: inband.NewSteerer(inband.Options{
 			Zone: s.Zone, Catalog: c, Freshness: recordSyncer, PropagationBound: s.propagationBound(),
 			Random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
--- a/edge/packets.go
+++ b/edge/packets.go
@@ -11,9 +11,11 @@
 	"github.com/rs/zerolog"
 
 	"github.com/fulmarfield/fulmarfield/catalog"
+	"github.com/fulmarfield/fulmarfield/discovery"
 	"github.com/fulmarfield/fulmarfield/inband"
 	"github.com/fulmarfield/fulmarfield/outlier"
 	"github.com/fulmarfield/fulmarfield/platform"
+	"github.com/fulmarfield/fulmarfield/store"
 	"github.com/fulmarfield/fulmarfield/telemetry"
 	"github.com/fulmarfield/fulmarfield/wire"
 )
@@ -50,6 +52,8 @@
 	// validatedAt returns when the upstreams were last known to be the latest, and configValidatedAt the
 	// same for the configuration.
 	validatedAt, configValidatedAt func() time.Time
+	// validatedBy returns what showed that the records of a kind were the latest then.
+	validatedBy func(store.Kind) discovery.Validation
 	// sendBuffer is reused for all datagrams that are sent.
 	sendBuffer []byte
 	// lastPacketAt is the time of the last packet. It shows a daemon that is shutting down when
@@ -214,9 +218,9 @@
 	for _, e := range l.steerer.TakeEndedFlows() {
 		l.counters.Count("ended." + e.Reason.String())
 		if l.allowLine(now) {
-			l.logger.Info().Str("event", eventFlowEnded).Stringer("flow", e.Flow).Stringer("reason", e.Reason).
-				Str("upstream", e.Upstream.ID).Str("zone", e.Upstream.Zone).Int64("started_at", e.Upstream.StartedAt).
-				Dur("open_for_ms", e.OpenFor).Str("proof", e.Reason.Proof()).Send()
+			line := l.logger.Info().Str("event", eventFlowEnded).Stringer("flow", e.Flow).Stringer("reason", e.Reason).
+				Str("upstream", e.Upstream.ID).Str("zone", e.Upstream.Zone).Int64("started_at", e.Upstream.StartedAt)
+			l.addProof(line, e.Reason, e.OpenFor).Int64("upstreams_age_ms", ageMilliseconds(l.validatedAt())).Send()
 		}
 		l.sendBuffer = platform.AppendReset(l.sendBuffer[:0], e.Flow, e.Acknowledged)
 		l.recordSendError(e.Flow, l.conn.Send(platform.CallerAddress(e.Flow, l.conn.LocalAddr().Port()), l.sendBuffer), now)
@@ -278,6 +282,13 @@
 	return true
 }
 
+// addProof adds to the line about the end of an open flow what the end rests on, and what validated the records.
+func (l *packetLoop) addProof(line *zerolog.Event, r inband.Reason, openFor time.Duration) *zerolog.Event {
+	return line.Dur("open_for_ms", openFor).Str("proof", r.Proof()).
+		Stringer("generation_validated_by", l.validatedBy(platform.KindConfiguration)).
+		Stringer("upstreams_validated_by", l.validatedBy(platform.KindUpstreams))
+}
+
 // logVerdict writes a line for each verdict, except for packets of open flows that are forwarded as usual
 // and for repeated verdicts, which are only counted. The rate of the lines is limited.
 func (l *packetLoop) logVerdict(p platform.Packet, v inband.Verdict, now time.Time) {
@@ -290,7 +301,7 @@
 		line = line.Str("upstream", v.Upstream.ID).Str("zone", v.Upstream.Zone).Int64("started_at", v.Upstream.StartedAt)
 	}
 	if v.Action == inband.ActionReset && !p.Opens {
-		line = line.Dur("open_for_ms", v.OpenFor).Str("proof", v.Reason.Proof())
+		line = l.addProof(line, v.Reason, v.OpenFor)
 	}
 	snapshot := l.catalog.Current()
 	if c := snapshot.Config; c != nil {
