Date advertisements by the clock of their receiver

Cause: an advertisement states its age as of its sending, and the receiver counted it from the time at which it read the datagram. After a freeze of 1.5 s a daemon took what had waited in its socket for new, counted its old records as validated by then, and told the others, which took the time over and with it the proof that a route had been removed. Evidence: all 20 resets rest on an advertisement of the daemon that had stood still, 20 to 127 ms old, while that daemon had last listed the store 2.8 s before and got the new configuration 0.9 s later. Ruled out: a list of the resetting daemon (none in that time), records read over TCP (their age counts from the request).

Change: each datagram has a stamp of its sender's clock and returns the last stamp of its receiver with the time since its receipt. Ages count from that stamp, by the receiver's own clock, so that a datagram which waited makes records older and never fresher, whatever the length of the pause and however many daemons pass the time on. Undated advertisements validate nothing: the receiver asks for a dated one if it would gain 0.3 s or more, and holds a due list back for 50 ms. Pauses of a process need not be noticed for this; only reports on response times are still dropped after one. A threshold for shorter pauses was weighed and left out: what stays below it adds up over daemons.

TestOnlyListsAndAdvertisementsValidate now also expects that an undated one validates nothing; other tests that called HandleAdvertisement state that theirs are dated.

--- a/discovery/advertisements.go
+++ b/discovery/advertisements.go
@@ -11,27 +11,39 @@
 	"github.com/fulmarfield/fulmarfield/store"
 )
 
-// HandleAdvertisement evaluates an advertisement of another daemon. It reports whether the cached
-// records became fresher by so much that the caller should notify other daemons.
-func (s *Syncer) HandleAdvertisement(ad Advertisement) bool {
+// Effect is what an advertisement of another daemon did, or would do.
+type Effect uint8
+
+// Effects of an advertisement.
+const (
+	EffectNone Effect = iota
+	// EffectFresher means that the cached records became fresher by so much that the caller should notify other daemons.
+	EffectFresher
+	// EffectAsk means that they may become so by a dated advertisement: the caller should ask the other daemon for one.
+	EffectAsk
+)
+
+// HandleAdvertisement evaluates an advertisement of another daemon and returns its effect.
+func (s *Syncer) HandleAdvertisement(ad Advertisement) Effect {
 	daemons := s.daemonCount()
 	s.mu.Lock()
 	defer s.unlock()
 	s.accountSuspensionLocked()
 	k := s.kinds[ad.Kind]
 	if k == nil || !k.isLoaded() {
-		return false
+		return EffectNone
 	}
 	if ad.Era < s.era {
 		s.options.Counters.CountDrop("advertisement_older_era")
-		return false
+		return EffectNone
 	}
 	if ad.Era > s.era {
 		s.hearEraLocked(ad)
-		return false
+		return EffectNone
 	}
 	before, asOf := k.freshness.validatedAt, k.recordCache.asOf
-	if ad.Era == k.recordCache.era && ad.Digest == k.recordCache.digest() {
+	isEqual := ad.Era == k.recordCache.era && ad.Digest == k.recordCache.digest()
+	if isEqual && ad.IsDated {
 		s.endOutageLocked(ad.Kind, ad.ValidatedAt)
 	}
 	k.freshness.handleAdvertisement(ad, k.recordCache)
@@ -44,12 +56,18 @@
 	if k.freshness.validatedAt.After(before) {
 		s.endGraceLocked(ad.Kind)
 	}
-	if k.freshness.validatedAt.Sub(before) < minFreshnessGain {
-		return false
+	switch {
+	case isEqual && !ad.IsDated && ad.ValidatedAt.Sub(before) >= minFreshnessGain:
+		if k.freshness.askedAt.IsZero() {
+			k.freshness.askedAt = time.Now()
+		}
+		return EffectAsk
+	case k.freshness.validatedAt.Sub(before) < minFreshnessGain:
+		return EffectNone
 	}
 	k.recordCache.purgeTombstones(k.freshness.validatedAt)
 	k.jitter = jitter(rand.Float64(), daemons)
-	return true
+	return EffectFresher
 }
 
 // Advertisements returns an advertisement for each kind whose cached records are validated.
--- a/discovery/era.go
+++ b/discovery/era.go
@@ -258,7 +258,7 @@
 // time of the first validated records of that era, the zero time if none is known.
 func (f *freshness) enterEra(era store.Era, since time.Time) {
 	f.era, f.eraSince, f.isEraOver, f.eraOverAt = era, since, false, time.Time{}
-	f.validatedAt, f.listedAt, f.isOverridden = time.Time{}, time.Time{}, false
+	f.validatedAt, f.listedAt, f.askedAt, f.isOverridden = time.Time{}, time.Time{}, time.Time{}, false
 }
 
 // recordEra records a validation at a time, which is the first one in the present era unless there was another.
--- a/discovery/era_test.go
+++ b/discovery/era_test.go
@@ -45,6 +45,7 @@
 func (d *eraDaemon) advertisement(kind store.Kind) Advertisement {
 	for _, ad := range d.Advertisements() {
 		if ad.Kind == kind {
+			ad.IsDated = true
 			return ad
 		}
 	}
@@ -215,7 +216,7 @@
 		g.Expect(ad.Digest).NotTo(Equal(old.Digest))
 		g.Expect(ad.Digest).To(Equal(third.advertisement(platform.KindUpstreams).Digest))
 		old.ValidatedAt = time.Now().Add(time.Minute)
-		g.Expect(first.HandleAdvertisement(old)).To(BeFalse())
+		g.Expect(first.HandleAdvertisement(old)).To(Equal(EffectNone))
 		g.Expect(first.counters.Get("drop.advertisement_older_era")).To(Equal(int64(1)))
 		ad.From, ad.ValidatedAt = netip.MustParseAddr("10.0.0.1"), ad.ValidatedAt.Add(-time.Minute)
 		second.HandleAdvertisement(ad)
--- a/discovery/eraproof_test.go
+++ b/discovery/eraproof_test.go
@@ -68,7 +68,7 @@
 	rs := completeListAt(time.Now(), 99, entryOf("i-e5", 90, 1, 1, "ready"))
 	rs.Era = era
 	peers[from] = rs
-	d.HandleAdvertisement(Advertisement{Kind: platform.KindUpstreams, Era: era, Digest: 7, ValidatedAt: time.Now(), From: from})
+	d.HandleAdvertisement(Advertisement{Kind: platform.KindUpstreams, Era: era, Digest: 7, ValidatedAt: time.Now(), From: from, IsDated: true})
 }
 
 // next waits until a kind is due, and reads it.
--- a/discovery/eraspread_test.go
+++ b/discovery/eraspread_test.go
@@ -138,8 +138,8 @@
 		time.AfterFunc(spreadHop, func() {
 			isFresher := false
 			for _, ad := range ads {
-				ad.From = d.address
-				isFresher = other.HandleAdvertisement(ad) || isFresher
+				ad.From, ad.IsDated = d.address, true
+				isFresher = other.HandleAdvertisement(ad) == EffectFresher || isFresher
 			}
 			if isFresher {
 				other.gossip()
--- a/discovery/freshness.go
+++ b/discovery/freshness.go
@@ -18,10 +18,13 @@
 	// eraSpreadShare is the longest delay of the first list of a new era, as a share of the same time. Watches
 	// show all daemons the era at once; those that draw a long delay read the records of the others.
 	eraSpreadShare = 0.1
-	// minFreshnessGain is the least gain in validation time for which a daemon reads the records of
-	// another one or passes an advertisement on. Advertisements that result from the same list
+	// minFreshnessGain is the least gain in validation time for which a daemon asks another one, reads its records
+	// or passes an advertisement on. Advertisements that result from the same list
 	// differ by less: by the latency over several daemons and by scheduling delays on small VMs.
 	minFreshnessGain = 300 * time.Millisecond
+	// answerTimeout is how long a read of the store waits for the answer of another daemon that claims to have validated
+	// the same records. It is longer than an answer takes between zones.
+	answerTimeout = 50 * time.Millisecond
 )
 
 // Advertisement is another daemon's statement that its records of a kind, which have this digest,
@@ -35,6 +38,10 @@
 	// Era is the era of the store to which the records and the versions belong.
 	Era         store.Era
 	ValidatedAt time.Time
+	// IsDated is set if ValidatedAt was computed from a time of this daemon's clock before which the advertisement was
+	// certainly not sent. Then it is not too late, however long the datagram waited. Otherwise it may be too late by
+	// any time.
+	IsDated bool
 	// From is the address of the daemon that serves the records.
 	From netip.Addr
 }
@@ -109,28 +116,36 @@
 	// fresherAdvertisement is the latest advertisement of a daemon whose records differ and were
 	// validated later. Its address is the zero value if there is none.
 	fresherAdvertisement Advertisement
+	// askedAt is when another daemon was first asked whether it has validated equal records since validatedAt, the zero
+	// time if none was.
+	askedAt time.Time
 }
 
 // recordList records that a record set was the latest at a time. from is the daemon that sent it, the zero value for
 // a list of the store.
 func (f *freshness) recordList(at time.Time, from netip.Addr) {
 	if at.After(f.validatedAt) {
-		f.validatedAt, f.validatedBy = at, Validation{From: from}
+		f.validate(at, Validation{From: from})
 	}
 	f.recordEra(at)
 	f.dropStaleAdvertisement()
 }
 
+// validate records what showed that the cached records were the latest at a time.
+func (f *freshness) validate(at time.Time, by Validation) {
+	f.validatedAt, f.validatedBy, f.askedAt = at, by, time.Time{}
+}
+
 // wasValidatedAfter reports whether the cached records were certainly the latest at some time after
-// t. Network delay makes the time in an advertisement appear later than it was, so a validation by
-// an advertisement must be later than t by a margin.
+// t. Suspensions too short to be accounted, on this VM or on those over which a validation came, make its time
+// appear later than it was, so a validation by another daemon must be later than t by a margin.
 func (f *freshness) wasValidatedAfter(t time.Time) bool {
 	return f.listedAt.After(t) || f.validatedAt.Sub(t) >= minFreshnessGain
 }
 
 // handleAdvertisement evaluates an advertisement of another daemon. If its records are equal to the
-// cached ones, it validates them. If they differ and were validated later, they must be read from
-// that daemon, even if some of the cached records are newer: its records validate the rest.
+// cached ones, and it is dated, it validates them. If they differ and were validated later, they must be
+// read from that daemon, even if some of the cached records are newer: its records validate the rest.
 func (f *freshness) handleAdvertisement(ad Advertisement, rc *recordCache) {
 	switch {
 	case ad.Era > rc.era:
@@ -140,8 +155,8 @@
 	case ad.Era < rc.era: // Its versions are not comparable.
 	case ad.Digest == rc.digest():
 		rc.asOf = max(rc.asOf, ad.AsOf)
-		if ad.ValidatedAt.After(f.validatedAt) {
-			f.validatedAt, f.validatedBy = ad.ValidatedAt, Validation{From: ad.From, IsAdvertised: true}
+		if ad.IsDated && ad.ValidatedAt.After(f.validatedAt) {
+			f.validate(ad.ValidatedAt, Validation{From: ad.From, IsAdvertised: true})
 			rc.validatedVersion = max(rc.validatedVersion, ad.ValidatedVersion)
 			f.recordEra(ad.ValidatedAt)
 		}
@@ -180,8 +195,16 @@
 
 // nextRead returns when and why the records must be read again unless they are validated earlier.
 // The fresher records of another daemon are read at once, so that a change spreads before further
-// daemons read the store.
+// daemons read the store. A read because of age waits for the answer of a daemon that was asked.
 func (f *freshness) nextRead(bound time.Duration, jitter float64) (time.Time, readCause) {
+	at, cause := f.nextReadWithoutAnswer(bound, jitter)
+	if answeredAt := f.askedAt.Add(answerTimeout); cause == causeStale && answeredAt.After(at) {
+		at = answeredAt
+	}
+	return at, cause
+}
+
+func (f *freshness) nextReadWithoutAnswer(bound time.Duration, jitter float64) (time.Time, readCause) {
 	switch {
 	case f.fresherAdvertisement.From.IsValid():
 		return f.fresherAdvertisement.ValidatedAt, causeFresherDaemon
--- a/discovery/freshness_test.go
+++ b/discovery/freshness_test.go
@@ -61,10 +61,12 @@
 	f.recordList(at(0), netip.Addr{})
 	rc.apply(store.Changes{AsOf: 9}, at(500))
 	g.Expect(nextReadTime(f, 1)).To(Equal(at(1800)))
-	f.handleAdvertisement(Advertisement{Digest: rc.digest(), AsOf: 9, ValidatedAt: at(1000)}, rc)
+	f.handleAdvertisement(Advertisement{Digest: rc.digest(), AsOf: 9, ValidatedAt: at(1000), IsDated: true}, rc)
 	g.Expect(nextReadTime(f, 0)).To(Equal(at(2200)))
-	f.handleAdvertisement(Advertisement{Digest: rc.digest(), AsOf: 9, ValidatedAt: at(500)}, rc)
+	f.handleAdvertisement(Advertisement{Digest: rc.digest(), AsOf: 9, ValidatedAt: at(500), IsDated: true}, rc)
 	g.Expect(f.validatedAt).To(Equal(at(1000)), "an older advertisement changes nothing")
+	f.handleAdvertisement(Advertisement{Digest: rc.digest(), AsOf: 9, ValidatedAt: at(1400)}, rc)
+	g.Expect(f.validatedAt).To(Equal(at(1000)), "one that is not dated may have waited")
 }
 
 // Guards against a daemon that lists the store because the version of its records is older than the
@@ -75,7 +77,7 @@
 	rc, f := newRecordCache(), &freshness{}
 	rc.merge(completeList(5, record("a", 5)), at(0))
 	f.recordList(at(0), netip.Addr{})
-	f.handleAdvertisement(Advertisement{Digest: rc.digest(), AsOf: 90, ValidatedAt: at(100)}, rc)
+	f.handleAdvertisement(Advertisement{Digest: rc.digest(), AsOf: 90, ValidatedAt: at(100), IsDated: true}, rc)
 	g.Expect(rc.asOf).To(Equal(store.Version(90)))
 	f.handleAdvertisement(Advertisement{Digest: rc.digest() + 1, AsOf: 95, ValidatedAt: at(200)}, rc)
 	g.Expect(rc.asOf).To(Equal(store.Version(90)), "the advertisement is of other records")
@@ -123,7 +125,7 @@
 	g.Expect(nextReadTime(f, 0)).To(Equal(at(700)), "at once, even if some cached records are newer")
 	f.recordList(at(650), netip.Addr{})
 	g.Expect(nextReadTime(f, 0)).To(Equal(at(1850)), "a later list validated the records")
-	f.handleAdvertisement(Advertisement{Digest: rc.digest(), ValidatedAt: at(900)}, rc)
+	f.handleAdvertisement(Advertisement{Digest: rc.digest(), ValidatedAt: at(900), IsDated: true}, rc)
 	other.ValidatedAt = at(800)
 	f.handleAdvertisement(other, rc)
 	g.Expect(nextReadTime(f, 0)).To(Equal(at(2100)), "the other daemon's records are less fresh")
@@ -134,7 +136,7 @@
 func TestAdvertisedTimeIsInexact(t *testing.T) {
 	g := NewWithT(t)
 	rc, f := newRecordCache(), &freshness{}
-	f.handleAdvertisement(Advertisement{Digest: rc.digest(), ValidatedAt: at(1000)}, rc)
+	f.handleAdvertisement(Advertisement{Digest: rc.digest(), ValidatedAt: at(1000), IsDated: true}, rc)
 	g.Expect(f.wasValidatedAfter(at(900))).To(BeFalse())
 	g.Expect(f.wasValidatedAfter(at(700))).To(BeTrue())
 	f.listedAt = at(950)
--- a/discovery/list_test.go
+++ b/discovery/list_test.go
@@ -154,8 +154,8 @@
 	g.Expect(syncer.refresh(t.Context(), kind, causeRequested)).To(Succeed())
 	validatedAt := syncer.ValidatedAt(kind)
 	ad := syncer.Advertisements()[0]
-	ad.ValidatedAt = validatedAt.Add(time.Second)
-	g.Expect(syncer.HandleAdvertisement(ad)).To(BeTrue())
+	ad.ValidatedAt, ad.IsDated = validatedAt.Add(time.Second), true
+	g.Expect(syncer.HandleAdvertisement(ad)).To(Equal(EffectFresher))
 }
 
 // Guards against resets of flows whose upstreams still run: their entries expired in an outage of the store, and
@@ -174,7 +174,7 @@
 		}},
 		{"advertisement", func(s *Syncer) { s.recordFailure(platform.KindUpstreams, store.ErrUnavailable) }, func(s *Syncer) {
 			ad := s.Advertisements()[0]
-			ad.ValidatedAt = time.Now()
+			ad.ValidatedAt, ad.IsDated = time.Now(), true
 			s.HandleAdvertisement(ad)
 		}},
 		{"watch", func(s *Syncer) { s.recordUnavailable() }, func(s *Syncer) {
--- a/discovery/suspension.go
+++ b/discovery/suspension.go
@@ -45,7 +45,7 @@
 
 // age makes the cached records older by a duration.
 func (f *freshness) age(d time.Duration) {
-	for _, t := range []*time.Time{&f.validatedAt, &f.listedAt, &f.unvalidatedSince, &f.eraSince, &f.fresherAdvertisement.ValidatedAt} {
+	for _, t := range []*time.Time{&f.validatedAt, &f.listedAt, &f.unvalidatedSince, &f.eraSince, &f.askedAt, &f.fresherAdvertisement.ValidatedAt} {
 		if !t.IsZero() {
 			*t = t.Add(-d)
 		}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -80,6 +80,9 @@
 	http    *http.Client
 	reports *reportRelay
 	traffic *trafficBudget
+	clock   stampClock
+	// questions are those that this daemon has asked.
+	questions *questions
 	// isLeaving is set when this daemon is shutting down.
 	isLeaving atomic.Bool
 
@@ -104,7 +107,7 @@
 	}
 	f := &Fleet{
 		options: o, port: local.Port(), members: newMembers(local.Addr()), tickedAt: time.Now(),
-		http: &http.Client{Transport: o.Transport}, reports: newReportRelay(), traffic: newTrafficBudget(),
+		http: &http.Client{Transport: o.Transport}, reports: newReportRelay(), traffic: newTrafficBudget(), questions: newQuestions(), clock: newStampClock(time.Now()),
 	}
 	if o.CountsDaemons {
 		f.census = newCensus(local.Addr(), f.tickedAt)
@@ -149,7 +152,8 @@
 		f.members.addCandidates(f.options.Seeds(), now)
 	}
 	to, interval := append(f.members.pick(1), f.members.pickCandidate()...), gossipInterval
-	if isAlone || !isValidated {
+	isQuestion := isAlone || !isValidated
+	if isQuestion {
 		to, interval = f.members.pick(gossipFanout), joinInterval
 	}
 	f.mu.Unlock()
@@ -157,7 +161,7 @@
 	if !isAlone && round%roundsPerSeedContact == 0 {
 		to = append(to, f.options.Seeds()...)
 	}
-	f.send(to, false)
+	f.send(to, message{isQuestion: isQuestion})
 	return interval
 }
 
@@ -181,7 +185,7 @@
 	f.mu.Lock()
 	to := f.members.pick(gossipFanout)
 	f.mu.Unlock()
-	f.send(to, false)
+	f.send(to, message{})
 }
 
 // Leave announces, now and in all later datagrams, that this daemon is shutting down.
@@ -203,13 +207,21 @@
 	return len(seeds) == 0 || slices.Contains(seeds, f.members.self)
 }
 
+// message is what a datagram contains besides what all contain.
+type message struct {
+	// isReply is set for the reply to a new daemon.
+	isReply bool
+	// isQuestion is set to request the advertisements of the receivers.
+	isQuestion bool
+}
+
 // send sends the advertisements of this daemon, and some addresses of reachable daemons, to the given
-// daemons. isReply is set for the reply to a new daemon.
-func (f *Fleet) send(to []netip.Addr, isReply bool) {
+// daemons.
+func (f *Fleet) send(to []netip.Addr, about message) {
 	if len(to) == 0 {
 		return
 	}
-	m := &pb.FleetDatagram{Zone: f.options.Zone, IsLeaving: f.isLeaving.Load()}
+	m := &pb.FleetDatagram{Zone: f.options.Zone, IsLeaving: f.isLeaving.Load(), IsQuestion: about.isQuestion}
 	f.mu.Lock()
 	for _, a := range shuffled(f.members.reachable) {
 		if len(m.Daemons) < maxListedDaemons {
@@ -220,22 +232,57 @@
 	now := time.Now()
 	if f.census != nil {
 		m.HeardBelow = f.census.sketch.encodeBelow()
-		m.Heard = f.census.payload(len(to), isReply, now)
+		m.Heard = f.census.payload(len(to), about.isReply, now)
 	}
 	f.mu.Unlock()
+	m.Confirmations = f.confirmations(now)
+	f.sendMessage(to, m, now)
+}
+
+// confirmations returns the advertisements of this daemon with their ages at a time.
+func (f *Fleet) confirmations(now time.Time) []*pb.Confirmation {
+	var list []*pb.Confirmation
 	for _, ad := range f.options.Syncer.Advertisements() {
-		m.Confirmations = append(m.Confirmations, &pb.Confirmation{
+		list = append(list, &pb.Confirmation{
 			Kind: string(ad.Kind), Digest: ad.Digest, AsOf: uint64(ad.AsOf), ProvenAsOf: uint64(ad.ValidatedVersion),
 			AgeMs: ageMilliseconds(now.Sub(ad.ValidatedAt)), Era: uint64(ad.Era),
 		})
 	}
+	return list
+}
+
+// sendMessage stamps and encodes a message and sends it to the given daemons, whatever the budget is. The ages in the
+// message are as of now.
+func (f *Fleet) sendMessage(to []netip.Addr, m *pb.FleetDatagram, now time.Time) {
+	suspended := f.options.Syncer.AccountSuspension()
+	m.SentAt = f.clock.stamp(time.Now(), suspended)
 	raw, err := proto.Marshal(m)
 	if err != nil {
 		f.options.Logger.Error().Str("event", "fleet_encode_failed").Err(err).Send()
 		return
 	}
-	f.traffic.take(len(to)*(len(raw)+udpOverheadBytes), now)
-	f.sendDatagram(to, raw)
+	for _, a := range to {
+		stamped, err := proto.MarshalOptions{}.MarshalAppend(slices.Clip(raw), f.echoTo(a, now))
+		if err != nil {
+			f.options.Logger.Error().Str("event", "fleet_encode_failed").Err(err).Send()
+			return
+		}
+		f.traffic.take(len(stamped)+udpOverheadBytes, now)
+		f.sendDatagram([]netip.Addr{a}, stamped)
+	}
+}
+
+// echoTo returns the part of a message that is different for each receiver. Encoded messages that follow one another
+// are decoded as one. The age of the echo is as of now, as all ages in the message: if this process stands still before
+// the message is sent, they all are too low by the same time.
+func (f *Fleet) echoTo(to netip.Addr, now time.Time) *pb.FleetDatagram {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	stamp, found := f.members.stamps[to]
+	if !found || stamp.receivedAt.After(now) {
+		return &pb.FleetDatagram{}
+	}
+	return &pb.FleetDatagram{Echo: stamp.sentAt, EchoAgeMs: uint32(now.Sub(stamp.receivedAt) / time.Millisecond)}
 }
 
 // sendDatagram sends an encoded datagram to the given daemons.
@@ -277,9 +324,9 @@
 }
 
 // handleDatagram updates the table of daemons with the sender of a datagram and the addresses in it, and
-// evaluates its advertisements unless this VM was just paused. It responds to a sender that is new or
-// has fewer validated kinds than this daemon. If the advertisements made this daemon's records fresher,
-// it sends advertisements to several other daemons.
+// evaluates its advertisements, or its reports unless this VM was just paused. It responds to a sender that asks, is
+// new or has fewer validated kinds than this daemon. If the advertisements made this daemon's records fresher,
+// it sends advertisements to several other daemons; if dated ones would, it asks the sender.
 func (f *Fleet) handleDatagram(d wire.Datagram, now time.Time) {
 	m := &pb.FleetDatagram{}
 	if err := proto.Unmarshal(d.Data, m); err != nil {
@@ -303,28 +350,39 @@
 	}
 	f.members.addCandidates(addresses, now)
 	f.recordSketch(from, m, wasPaused, now)
+	f.members.recordStamp(from, m.GetSentAt(), now)
 	f.mu.Unlock()
-	if wasPaused {
-		f.options.Counters.CountDrop("fleet_after_pause")
-		return
-	}
 	if len(m.GetReports()) > 0 {
+		if wasPaused {
+			f.options.Counters.CountDrop("fleet_after_pause")
+			return
+		}
 		f.handleReports(m, now)
 		return
 	}
-	isFresher, isOlderEra, era := false, false, f.options.Syncer.Era()
+	sentAfter, isDated := f.clock.sentAfter(m, now, suspended)
+	isFresher, isOlderEra, mustAsk, era := false, false, false, f.options.Syncer.Era()
 	for _, c := range m.GetConfirmations() {
-		isFresher = f.options.Syncer.HandleAdvertisement(discovery.Advertisement{
-			Kind: store.Kind(c.GetKind()), Digest: c.GetDigest(), From: from,
+		ad := discovery.Advertisement{
+			Kind: store.Kind(c.GetKind()), Digest: c.GetDigest(), From: from, IsDated: isDated,
 			Era: store.Era(c.GetEra()), AsOf: store.Version(c.GetAsOf()), ValidatedVersion: store.Version(c.GetProvenAsOf()),
-			ValidatedAt: now.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond),
-		}) || isFresher
-		isOlderEra = isOlderEra || store.Era(c.GetEra()) < era
+			ValidatedAt: sentAfter.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond),
+		}
+		switch f.options.Syncer.HandleAdvertisement(ad) {
+		case discovery.EffectFresher:
+			isFresher = true
+		case discovery.EffectAsk:
+			mustAsk = f.questions.isDue(ad.Kind, ad.ValidatedAt, now) || mustAsk
+		}
+		isOlderEra = isOlderEra || ad.Era < era
 	}
 	if isNew && !m.GetIsLeaving() {
 		f.options.Logger.Debug().Str("event", "daemon_heard").Stringer("address", from).Str("zone", m.GetZone()).Send()
 	}
 	f.respond(m, from, isNew, isOlderEra)
+	if mustAsk {
+		f.ask(from, now)
+	}
 	if isFresher {
 		f.Gossip()
 	}
@@ -341,8 +399,11 @@
 	needsAdvertisements := len(m.GetConfirmations()) < len(f.options.Syncer.Advertisements())
 	// A daemon that lists no others reaches none. It would remain alone while all tables that it sends to are full.
 	isAlone := len(m.GetDaemons()) == 0
-	if isNew || needsAdvertisements || isOlderEra || isAlone {
-		f.send([]netip.Addr{from}, isNew || isAlone)
+	switch {
+	case m.GetIsQuestion() && !isNew && !isOlderEra && !isAlone:
+		f.answer(from)
+	case isNew || needsAdvertisements || isOlderEra || isAlone:
+		f.send([]netip.Addr{from}, message{isReply: isNew || isAlone})
 	}
 }
 
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -27,10 +27,18 @@
 	// candidates are addresses from the seeds or from other daemons' datagrams, with the time at
 	// which they were added. No datagram has been received from them yet.
 	candidates map[netip.Addr]time.Time
+	// stamps are the last times of sending that reachable daemons have stated.
+	stamps map[netip.Addr]receivedStamp
+}
+
+// receivedStamp is what another daemon has stated as the time of sending, with the time of its receipt.
+type receivedStamp struct {
+	sentAt     uint32
+	receivedAt time.Time
 }
 
 func newMembers(self netip.Addr) *members {
-	return &members{self: self, reachable: map[netip.Addr]time.Time{}, candidates: map[netip.Addr]time.Time{}}
+	return &members{self: self, reachable: map[netip.Addr]time.Time{}, candidates: map[netip.Addr]time.Time{}, stamps: map[netip.Addr]receivedStamp{}}
 }
 
 // recordContact records a datagram from a daemon, and reports whether the daemon is new and the
@@ -65,6 +73,13 @@
 	}
 }
 
+// recordStamp records the time of sending that a reachable daemon has stated.
+func (m *members) recordStamp(a netip.Addr, sentAt uint32, now time.Time) {
+	if _, isReachable := m.reachable[a]; isReachable && sentAt != 0 {
+		m.stamps[a] = receivedStamp{sentAt, now}
+	}
+}
+
 // expire removes daemons without contact, and candidates, after memberTimeout.
 func (m *members) expire(now time.Time) {
 	for _, list := range []map[netip.Addr]time.Time{m.reachable, m.candidates} {
@@ -74,6 +89,11 @@
 			}
 		}
 	}
+	for a := range m.stamps {
+		if _, isReachable := m.reachable[a]; !isReachable {
+			delete(m.stamps, a)
+		}
+	}
 }
 
 // pick returns up to n random daemons. It chooses among the reachable ones if there are
--- a/fleet/records_test.go
+++ b/fleet/records_test.go
@@ -149,11 +149,15 @@
 
 // startFleet runs daemons with a store until the test ends.
 func startFleet(t *testing.T, daemons int, s *changingStore) ([]*discovery.Syncer, []*catalog.Catalog) {
+	return startFleetOn(t, daemons, s, memnet.New(func(_, _ netip.AddrPort, _ []byte) []time.Duration {
+		return []time.Duration{time.Millisecond}
+	}))
+}
+
+// startFleetOn does the same with datagrams on a given network.
+func startFleetOn(t *testing.T, daemons int, s *changingStore, network *memnet.Network) ([]*discovery.Syncer, []*catalog.Catalog) {
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
-	network := memnet.New(func(_, _ netip.AddrPort, _ []byte) []time.Duration {
-		return []time.Duration{time.Millisecond}
-	})
 	transport := handlerTransport{}
 	var syncers []*discovery.Syncer
 	var catalogs []*catalog.Catalog
--- a/inband/ending.go
+++ b/inband/ending.go
@@ -58,7 +58,8 @@
 	return f != nil && f.isOpen && f.upstream.ID == e.upstream.ID && validatedAt.Sub(f.openSince) >= validationMargin
 }
 
-// validationMargin is by how much the time of a validation that comes from another daemon may be too late.
+// validationMargin is by how much the time of a validation may be too late, because of suspensions that are too short to
+// be accounted.
 const validationMargin = 300 * time.Millisecond
 
 // gather returns the evidence on the flow of a packet. It also reports whether the flow waits for evidence that
--- a/test/orders/daemon_test.go
+++ b/test/orders/daemon_test.go
@@ -28,6 +28,8 @@
 	// leaveTime is how long a daemon goes on after it was asked to end, and restartTime how long it is down.
 	leaveTime   = 1500 * time.Millisecond
 	restartTime = 500 * time.Millisecond
+	// watchLag is the age of what lagging watches return.
+	watchLag = 2 * time.Second
 	// queueLength is the number of packets that wait in a daemon's socket.
 	queueLength = 256
 )
@@ -47,6 +49,8 @@
 	queue                   []platform.Packet
 	// refusedUntil is the end of the time in which the store turns this daemon away.
 	refusedUntil time.Time
+	// watchesLagUntil is the end of the time in which watches return what is watchLag old.
+	watchesLagUntil time.Time
 	// disturbedAt is the end of the last disruption that is not planned.
 	disturbedAt time.Time
 }
@@ -225,6 +229,16 @@
 	if err != nil {
 		return c, err
 	}
+	i.daemon.world.mu.Lock()
+	isLagging := time.Now().Before(i.daemon.watchesLagUntil)
+	i.daemon.world.mu.Unlock()
+	if isLagging {
+		select {
+		case <-ctx.Done():
+			return c, ctx.Err()
+		case <-time.After(watchLag):
+		}
+	}
 	return c, i.reachStore(ctx)
 }
 
@@ -266,17 +280,57 @@
 
 // gossip sends the daemon's advertisements to all others.
 func (i *instance) gossip() {
-	ads := i.syncer.Advertisements()
-	for _, other := range i.peers() {
+	i.daemon.world.mu.Lock()
+	var others []*instance
+	for _, d := range i.daemon.world.daemons {
+		if d != i.daemon && d.instance != nil {
+			others = append(others, d.instance)
+		}
+	}
+	i.daemon.world.mu.Unlock()
+	for _, other := range others {
+		i.advertise(other, false)
+	}
+}
+
+// advertise sends the daemon's advertisements to another one. They wait in a socket while that one is frozen. If they
+// are not dated, that one takes them for sent when it reads them, and may ask for dated ones.
+func (i *instance) advertise(to *instance, areDated bool) {
+	i.daemon.whenAwake(func() {
+		ads, sentAt := i.syncer.Advertisements(), time.Now()
 		time.AfterFunc(peerDelay, func() {
-			isFresher := false
-			for _, ad := range ads {
-				ad.From = i.daemon.address
-				isFresher = other.syncer.HandleAdvertisement(ad) || isFresher
-			}
-			if isFresher {
-				other.gossip()
-			}
+			to.daemon.whenAwake(func() { to.handleAdvertisements(ads, sentAt, i, areDated) })
 		})
+	})
+}
+
+func (i *instance) handleAdvertisements(ads []discovery.Advertisement, sentAt time.Time, from *instance, areDated bool) {
+	isFresher, mustAsk := false, false
+	for _, ad := range ads {
+		ad.From, ad.IsDated = from.daemon.address, areDated
+		if !areDated {
+			ad.ValidatedAt = ad.ValidatedAt.Add(time.Since(sentAt))
+		}
+		effect := i.syncer.HandleAdvertisement(ad)
+		isFresher = isFresher || effect == discovery.EffectFresher
+		mustAsk = mustAsk || effect == discovery.EffectAsk
+	}
+	if mustAsk {
+		time.AfterFunc(peerDelay, func() { from.advertise(i, true) })
+	}
+	if isFresher {
+		i.gossip()
+	}
+}
+
+// whenAwake calls a function at once or, if the daemon is frozen, when it wakes.
+func (d *daemon) whenAwake(f func()) {
+	d.world.mu.Lock()
+	frozen := time.Until(d.frozenUntil)
+	d.world.mu.Unlock()
+	if frozen > 0 {
+		time.AfterFunc(frozen, func() { d.whenAwake(f) })
+		return
 	}
+	f()
 }
--- a/test/orders/kept_test.go
+++ b/test/orders/kept_test.go
@@ -28,3 +28,19 @@
 	}
 	expectHeld(t, s)
 }
+
+// Guards against resets of flows on a route that was added while another daemon stood still (review/7): that daemon
+// takes advertisements which waited in its socket for new ones, and tells the others that records without the route were
+// the latest until then.
+func TestFrozenDaemonTellsNoLaterTime(t *testing.T) {
+	s := scenario{Daemons: 4, Upstreams: 6, FlowsPerSecond: 1, ThinkMS: 300, Events: []event{
+		{Kind: lagWatches, Target: 1, Size: 100}, {Kind: lagWatches, Target: 2, Size: 100},
+	}}
+	for at := 1000; at < 26_000; at += 5000 {
+		s.Events = append(s.Events,
+			event{AtMS: at, Kind: freezeDaemon, Target: 2, Size: 38}, // 1.5 s
+			event{AtMS: at + 400, Kind: addRoutes, Target: 0, Size: 20},
+			event{AtMS: at + 100, Kind: stopDaemon, Target: 3})
+	}
+	expectHeld(t, s)
+}
--- a/test/orders/scenario_test.go
+++ b/test/orders/scenario_test.go
@@ -39,13 +39,14 @@
 	restoreStore
 	evacuateZone
 	lateWrite
+	lagWatches
 	eventKinds
 )
 
 var eventNames = [eventKinds]string{
 	"stopDaemon", "killDaemon", "freezeDaemon", "stallDaemon", "refuseDaemon", "restartUpstream", "loseUpstream", "drainUpstream",
 	"reuseAddress", "addUpstream", "entryWithoutStart", "unreadableEntry", "addRoutes", "removeRoute", "moveRoute", "moveAllRoutes",
-	"disturbStore", "loseDatagrams", "restoreStore", "evacuateZone", "lateWrite",
+	"disturbStore", "loseDatagrams", "restoreStore", "evacuateZone", "lateWrite", "lagWatches",
 }
 
 // String returns the name of the constant.
@@ -210,6 +211,8 @@
 		w.evacuate(e)
 	case lateWrite:
 		w.writeLate(u, e)
+	case lagWatches:
+		d.watchesLagUntil = time.Now().Add(share(e.Size, runTime))
 	}
 }
 
