Count the age of an era from the receipt of records

Counting from the request makes records older, which is safe, but it also makes the era older, so that its grace period, in which flows of upstreams that are not written again go on, ends too early by the length of the call or of a freeze in it.

The age of the era now counts from the receipt, and is not made older by a suspension during the call.

--- a/discovery/revalidate.go
+++ b/discovery/revalidate.go
@@ -197,9 +197,6 @@
 		return err
 	}
 	rs.ValidatedAt = rs.ValidatedAt.Add(suspended - s.AccountSuspension())
-	if !rs.EraSince.IsZero() {
-		rs.EraSince = rs.EraSince.Add(suspended - s.AccountSuspension())
-	}
 	if from.IsValid() {
 		rs.From = from
 	}
--- a/fleet/bodies.go
+++ b/fleet/bodies.go
@@ -131,14 +131,16 @@
 	return m, nil
 }
 
-// decodeRecordSet returns the record set in a message of another daemon that was requested at a time.
-func decodeRecordSet(m *pb.ListRecordsResponse, requestedAt time.Time) (discovery.RecordSet, error) {
+// decodeRecordSet returns the record set in a message of another daemon. The ages in it were computed between the request
+// and the receipt of the message. The records count as validated as early as may be, and the era as begun as late as
+// may be.
+func decodeRecordSet(m *pb.ListRecordsResponse, requestedAt, receivedAt time.Time) (discovery.RecordSet, error) {
 	rs := discovery.RecordSet{
 		AsOf: store.Version(m.GetAsOf()), Era: store.Era(m.GetEra()),
 		ValidatedAt: requestedAt.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
 	}
 	if m.EraAgeMs != nil {
-		rs.EraSince = requestedAt.Add(-time.Duration(m.GetEraAgeMs()) * time.Millisecond)
+		rs.EraSince = receivedAt.Add(-time.Duration(m.GetEraAgeMs()) * time.Millisecond)
 	}
 	for _, bucket := range m.GetBuckets() {
 		rs.Buckets = append(rs.Buckets, int(bucket))
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -426,7 +426,7 @@
 	if err != nil {
 		return discovery.RecordSet{}, fmt.Errorf("list %s of daemon %s: %w: %w", kind, from, ErrNoDaemon, err)
 	}
-	rs, err := decodeRecordSet(response.Msg, began)
+	rs, err := decodeRecordSet(response.Msg, began, time.Now())
 	if err != nil {
 		return discovery.RecordSet{}, fmt.Errorf("list %s of daemon %s: %w: %w", kind, from, ErrNoDaemon, err)
 	}
