Take IDs with unreadable entries for unknown, not for absent

Cause: an unreadable entry marked an upstream only if the catalog had it. A daemon that has started dropped the entry, and took the next list for proof that the store has none under this ID. Likewise an upstream whose entry had been removed before an unreadable one came still counted as gone.

Change: the catalog keeps the IDs whose entries can't be read and finds them by token. Their packets are dropped until an entry can be read or is removed; a removed upstream with an unreadable entry counts as missing, and gets no new flows.

Callers gain no answers by this change on the daemons that started; they lose no flow to them.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -67,6 +67,10 @@
 	latest map[string]*Upstream
 	// lapsed holds the upstreams of each service that accepted new flows when their entries vanished.
 	lapsed map[string][]*Upstream
+	// unreadable holds the IDs without a registered upstream whose entries cannot be decoded, and unreadableByToken
+	// the same by token.
+	unreadable        map[string]bool
+	unreadableByToken tokenIndex
 }
 
 // IsComplete reports whether a configuration, a list of upstreams and, if the deployment has them, a list of
@@ -114,6 +118,12 @@
 	return s.byToken.find(address, token)
 }
 
+// IsUnreadable reports whether a token at a service address belongs to an ID whose entry cannot be decoded and of which no
+// other is known. There may be an upstream that runs under this ID.
+func (s *Snapshot) IsUnreadable(address netip.AddrPort, token uint32) bool {
+	return s.unreadableByToken.find(address, token) != nil
+}
+
 // IsAmbiguous reports whether the token of u at an address belongs to another upstream, so that packets of
 // new flows to u would be steered to that upstream.
 func (s *Snapshot) IsAmbiguous(address netip.AddrPort, u *Upstream) bool {
@@ -141,6 +151,8 @@
 	switch {
 	case !found:
 		return StatusUnknown
+	case s.unreadable[d.upstream.ID]: // An entry came back, though it says nothing.
+		return StatusMissing
 	case validatedAt.Sub(d.since) >= ReregistrationGrace:
 		return StatusDeregistered
 	default:
@@ -163,6 +175,8 @@
 	upstreamsListed bool
 	// deregistered holds the upstreams by ID whose entries were removed and have not been written again.
 	deregistered map[string]deregistered
+	// unreadable holds the IDs without a registered upstream whose entries cannot be decoded.
+	unreadable map[string]bool
 	// evacuations holds the evacuations in force by zone.
 	evacuations                            map[string]Evacuation
 	requiresEvacuations, evacuationsListed bool
@@ -172,7 +186,7 @@
 
 // New returns an empty catalog that reads the time from now.
 func New(now func() time.Time) *Catalog {
-	c := &Catalog{upstreams: map[string]*Upstream{}, deregistered: map[string]deregistered{}, evacuations: map[string]Evacuation{}, now: now}
+	c := &Catalog{upstreams: map[string]*Upstream{}, deregistered: map[string]deregistered{}, unreadable: map[string]bool{}, evacuations: map[string]Evacuation{}, now: now}
 	c.current.Store(&Snapshot{})
 	return c
 }
@@ -193,7 +207,8 @@
 	return true
 }
 
-// SetUpstreams replaces all upstreams by a complete list.
+// SetUpstreams replaces all upstreams by a complete list. IDs that were marked as unreadable and are not in the list remain
+// so.
 func (c *Catalog) SetUpstreams(list []*Upstream) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -212,8 +227,7 @@
 }
 
 // ApplyChanges registers the upstreams in put, deregisters those in removed and marks those in
-// unreadable, whose entries cannot be decoded. IDs in removed and unreadable without a registered
-// upstream are ignored.
+// unreadable, whose entries cannot be decoded.
 func (c *Catalog) ApplyChanges(put []*Upstream, removed, unreadable []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -225,6 +239,8 @@
 			next := *u
 			next.State = StateUnreadable
 			c.upstreams[id] = &next
+		} else {
+			c.unreadable[id] = true
 		}
 	}
 	for _, id := range removed {
@@ -262,11 +278,17 @@
 		next.warmAt = previous.warmAt
 	}
 	delete(c.deregistered, u.ID)
+	delete(c.unreadable, u.ID)
 	c.upstreams[u.ID] = &next
 }
 
 // remove deregisters an upstream whose entry was removed. The caller holds c.mu.
 func (c *Catalog) remove(id string) {
+	if d, found := c.deregistered[id]; found && c.unreadable[id] {
+		d.since = c.now()
+		c.deregistered[id] = d
+	}
+	delete(c.unreadable, id)
 	if u := c.upstreams[id]; u != nil {
 		delete(c.upstreams, id)
 		c.deregistered[id] = deregistered{upstream: u, since: c.now()}
@@ -304,10 +326,12 @@
 			continue
 		}
 		s.deregistered[d.upstream.Key], s.latest[id] = d, d.upstream
-		if d.upstream.State == StateReady && !d.hadStopped && !s.IsEvacuated(d.upstream.Zone) {
+		if d.upstream.State == StateReady && !d.hadStopped && !c.unreadable[id] && !s.IsEvacuated(d.upstream.Zone) {
 			s.lapsed[d.upstream.Service] = append(s.lapsed[d.upstream.Service], d.upstream)
 		}
 	}
 	s.byToken = newTokenIndex(maps.Values(s.latest), len(s.latest))
+	s.unreadable = maps.Clone(c.unreadable)
+	s.unreadableByToken = newUnreadableIndex(s.unreadable)
 	c.current.Store(s)
 }
--- a/catalog/tokens.go
+++ b/catalog/tokens.go
@@ -18,6 +18,18 @@
 	return t
 }
 
+// newUnreadableIndex returns an index of IDs of which nothing else is known.
+func newUnreadableIndex(ids map[string]bool) tokenIndex {
+	return newTokenIndex(func(yield func(*Upstream) bool) {
+		for id := range ids {
+			u := &Upstream{ID: id}
+			if u.prefix = u.tokenPrefix(); !yield(u) {
+				return
+			}
+		}
+	}, len(ids))
+}
+
 // withPrefix returns the upstreams whose tokens have a prefix.
 func (t tokenIndex) withPrefix(prefix uint16) []*Upstream {
 	first, _ := slices.BinarySearchFunc(t, prefix, func(u *Upstream, p uint16) int { return cmp.Compare(u.prefix, p) })
--- a/discovery/apply.go
+++ b/discovery/apply.go
@@ -42,6 +42,7 @@
 	}
 	switch {
 	case isFirst:
+		s.options.Catalog.ApplyChanges(nil, nil, unreadable)
 		s.options.Catalog.SetUpstreams(put)
 	case len(changes) > 0:
 		s.options.Catalog.ApplyChanges(put, removed, unreadable)
--- a/inband/ending.go
+++ b/inband/ending.go
@@ -20,7 +20,7 @@
 	// without a route has no route either.
 	isRouteRemoved bool
 	// isUnlisted means that a list of upstreams which was complete after the flow was known to be open
-	// contains none that is registered.
+	// contains no entry of the flow's upstream, also none that cannot be decoded.
 	isUnlisted bool
 	// isSilent means that the upstream responds neither to the data of this flow nor on others.
 	isSilent bool
@@ -85,7 +85,7 @@
 	if !hasRoute {
 		e.isRouteRemoved = s.options.Freshness.ConfigValidatedSince(since) && s.isCurrent(known)
 	}
-	if !isRegistered && !e.isUnlisted && !e.isRouteRemoved {
+	if !isRegistered && !e.isUnlisted && !e.isRouteRemoved && !known.IsUnreadable(p.Flow.Service(), p.Token) {
 		e.isUnlisted = s.options.Freshness.UpstreamsListedSince(since) && s.isCurrent(known)
 	}
 	return e, true, status == alreadyTracked
--- a/inband/reset_proof_test.go
+++ b/inband/reset_proof_test.go
@@ -161,6 +161,36 @@
 	h.Expect(h.steerer.TakeEndedFlows()).To(BeEmpty())
 }
 
+// Guards against a reset by a daemon that has started while the entry of an upstream can't be read (review/9): the list
+// has an entry under the ID, so it is no proof that there is no such upstream. The flow goes on once the entry can be
+// read again, and ends only after the entry was removed.
+func TestUnreadableEntryIsNoProof(t *testing.T) {
+	h := newHarness(t, upstream("b", "bindery", "schuur"))
+	p := withData(platform.Packet{Flow: h.newFlowKey(unsafeAddress), Token: h.token("a", unsafeAddress), Sequence: 1,
+		Acknowledged: 100, Acknowledges: true})
+	decideAfterList := func() inband.Verdict {
+		h.decide(p)
+		h.advance(catalog.ReregistrationGrace)
+		h.listedAt = h.now
+		h.validate()
+		return h.decide(p)
+	}
+	h.catalog.ApplyChanges(nil, nil, []string{"a"})
+	h.Expect(decideAfterList().Action).To(Equal(inband.ActionDrop))
+	h.catalog.ApplyChanges([]*catalog.Upstream{upstream("a", "bindery", "schuur")}, nil, nil)
+	h.Expect(decideAfterList().Action).To(Equal(inband.ActionForward))
+	h.catalog.ApplyChanges(nil, []string{"a"}, nil)
+	h.advance(time.Second)
+	h.catalog.ApplyChanges(nil, nil, []string{"a"})
+	v := decideAfterList()
+	h.Expect(v.Action).To(Equal(inband.ActionForward), "the entry came back, though it can't be read: %s", v.Reason)
+	h.catalog.ApplyChanges(nil, []string{"a"}, nil)
+	h.Expect(h.steerer.TakeEndedFlows()).To(BeEmpty())
+	decideAfterList()
+	h.Expect(h.steerer.TakeEndedFlows()).To(ConsistOf(SatisfyAll(
+		HaveField("Flow", p.Flow), HaveField("Reason", inband.ReasonUpstreamDeregistered))))
+}
+
 // Guards against resets that a bound on memory or work causes (review/1): after one change of the services of
 // all routes, a daemon that has just started must find the upstreams of more flows than any cache of single
 // lookups holds.
