Keep answered flows at their address when an entry names another

Cause: open flows were steered to the address in the entry that was read last, where nothing responds; two copies of data on several flows then made the upstream count as dead.

Change: a flow of which this daemon has seen an answer (it placed the flow and the caller acknowledged, or the caller acknowledged more after a packet that this daemon had forwarded) stays at that address. Other flows follow the entry, as before. A rule by service names was weighed and left out: it would hold back an upstream whose entry is read before the configuration that names its service, and does not help against an entry of a named service or of an ended process.

--- a/inband/ending.go
+++ b/inband/ending.go
@@ -152,8 +152,8 @@
 	}
 }
 
-// checkUpstream ends an open flow that has certainly ended at its upstream, and assigns it to the incarnation that
-// the catalog has otherwise.
+// checkUpstream ends an open flow that has certainly ended at its upstream, and otherwise assigns it to the incarnation
+// that the catalog has, unless it stays where it was answered.
 func (s *Steerer) checkUpstream(known state, key wire.FlowKey, f *flow, now time.Time) {
 	u := known.Latest(f.upstream.ID)
 	if u == nil {
@@ -163,7 +163,7 @@
 	e.isUnlisted = e.isOlderThan(known.upstreamsValidatedAt)
 	if r := e.ending(); r != ReasonNone {
 		s.endFlow(key, f, r, now)
-	} else if u.Key != f.upstream.Key {
+	} else if u.Key != f.upstream.Key && !f.stays(u) {
 		s.moveFlow(f, u, now)
 	}
 }
--- a/inband/flow.go
+++ b/inband/flow.go
@@ -17,6 +17,9 @@
 	// the time of that packet. The flow may have been opened earlier, through another daemon.
 	isOpen    bool
 	openSince time.Time
+	// isAnswered is set once the caller has acknowledged something that the upstream sent after a packet which this
+	// daemon had forwarded, so that the flow is known to be at the upstream's address.
+	isAnswered bool
 	// acknowledged is the caller's last acknowledgement. It rises as the caller receives data.
 	acknowledged uint32
 	// dataStart is the sequence number of the first byte that the caller sent after that
@@ -65,6 +68,12 @@
 	return now.Sub(f.lastSeen)
 }
 
+// stays reports whether packets of the flow go on to the address where it was answered, although the entry of its upstream
+// that was read last names another one. That entry may be of another writer or of an ended process.
+func (f *flow) stays(u *catalog.Upstream) bool {
+	return f.isAnswered && f.upstream.ID == u.ID && f.upstream.Address != u.Address
+}
+
 // openFor returns for how long this daemon has known the flow to be open, 0 if it is not open.
 func (f *flow) openFor(now time.Time) time.Duration {
 	if f == nil || !f.isOpen {
@@ -85,9 +94,11 @@
 // observe updates the flow with a packet and returns the evidence of the upstream's health that the
 // packet contains.
 func (f *flow) observe(p platform.Packet, now time.Time) event {
+	wasPlacedHere := !f.isOpen && !f.lastSeen.IsZero()
 	f.lastSeen = now
 	observed := eventNone
 	if !f.isOpen || int32(p.Acknowledged-f.acknowledged) > 0 {
+		f.isAnswered = f.isAnswered || wasPlacedHere || f.isBusy
 		if !f.isOpen {
 			f.openSince = now
 		}
--- a/inband/reset_proof_test.go
+++ b/inband/reset_proof_test.go
@@ -161,6 +161,47 @@
 	h.Expect(h.steerer.TakeEndedFlows()).To(BeEmpty())
 }
 
+// Guards against packets of open flows that go to the address in an entry of another writer, or of an ended process, and
+// against resets because nothing responds there (review/8): a flow stays where it was answered. A flow of which this
+// daemon has seen no answer follows the entry that was read last.
+func TestFlowStaysWhereItWasAnswered(t *testing.T) {
+	own, foreign := incarnation("a", 2), incarnation("a", 1)
+	foreign.Service, foreign.Address = "archive", netip.MustParseAddrPort("10.9.9.9:9")
+	h := newHarness(t, own)
+	var packets []platform.Packet
+	for _, service := range []netip.AddrPort{safeAddress, unsafeAddress, safeAddress, unsafeAddress} {
+		p, _ := h.open(service)
+		packets = append(packets, p)
+	}
+	moved := withData(platform.Packet{Flow: h.newFlowKey(safeAddress), Token: h.token("a", safeAddress), Sequence: 1,
+		Acknowledged: 100, Acknowledges: true})
+	answered := moved
+	answered.Flow = h.newFlowKey(safeAddress)
+	h.decide(answered)
+	answered.Sequence, answered.Acknowledged, answered.PayloadBytes = answered.Sequence+100, answered.Acknowledged+600, 0
+	h.decide(answered)
+	packets = append(packets, answered)
+	h.advance(time.Second)
+	h.catalog.ApplyChanges([]*catalog.Upstream{foreign}, nil, nil)
+	h.Expect(h.decide(moved).Upstream.Address).To(Equal(foreign.Address))
+	for range 6 {
+		for i, p := range packets {
+			v := h.decide(withData(p))
+			h.Expect(v.Action).To(Equal(inband.ActionForward), "%s", v.Reason)
+			h.Expect(v.Upstream.Address).To(Equal(own.Address))
+			h.Expect(v.Upstream.Instance).To(Equal(own.Instance))
+			p.Sequence, p.Acknowledged = p.Sequence+100, p.Acknowledged+600
+			h.decide(p)
+			packets[i] = p
+		}
+		h.advance(300 * time.Millisecond)
+		h.validate()
+	}
+	h.Expect(h.steerer.TakeEndedFlows()).To(BeEmpty())
+	h.catalog.ApplyChanges([]*catalog.Upstream{own}, nil, nil)
+	h.Expect(h.decide(moved).Upstream.Address).To(Equal(own.Address))
+}
+
 // Guards against a reset by a daemon that has started while the entry of an upstream can't be read (review/9): the list
 // has an entry under the ID, so it is no proof that there is no such upstream. The flow goes on once the entry can be
 // read again, and ends only after the entry was removed.
--- a/inband/steerer.go
+++ b/inband/steerer.go
@@ -365,6 +365,9 @@
 		return v
 	}
 	f := s.trackFlow(p.Flow, e, now)
+	if f.stays(e.upstream) {
+		e.upstream = f.upstream
+	}
 	if f.isFinished {
 		f.lastSeen = now
 		return forwardOpen(e, isWaiting)
@@ -391,7 +394,7 @@
 	case f == nil || f.upstream.ID != e.upstream.ID:
 		f = &flow{upstream: e.upstream}
 		s.addFlow(key, f)
-	case f.upstream.Key != e.upstream.Key:
+	case f.upstream.Key != e.upstream.Key && !f.stays(e.upstream):
 		s.moveFlow(f, e.upstream, now)
 	}
 	return f
