--- a/discovery/freshness.go
+++ b/discovery/freshness.go
@@ -19,8 +19,8 @@
 	// show all daemons the era at once; those that draw a long delay read the records of the others.
 	eraSpreadShare = 0.1
 	// minFreshnessGain is the least gain in validation time for which a daemon asks another one, reads its records
-	// or passes an advertisement on. Advertisements that result from the same list
-	// differ by less: by the latency over several daemons and by scheduling delays on small VMs.
+	// or passes an advertisement on. Advertisements that result from the same list differ by less: by the latency over
+	// several daemons and by scheduling delays on small VMs.
 	minFreshnessGain = 300 * time.Millisecond
 	// answerTimeout is how long a read of the store waits for the answer of another daemon that claims to have validated
 	// the same records. It is longer than an answer takes between zones.
@@ -204,6 +204,7 @@
 	return at, cause
 }
 
+// nextReadWithoutAnswer returns the same without a wait for an answer.
 func (f *freshness) nextReadWithoutAnswer(bound time.Duration, jitter float64) (time.Time, readCause) {
 	switch {
 	case f.fresherAdvertisement.From.IsValid():
