Take an upstream for dead only while another one responds

No log was kept; the suspected cause is that silence on all flows counted against each upstream, although it shows only that callers receive nothing.

Change: a flow or an upstream counts as dead only if another upstream has made progress at this daemon since the data was sent.

TestSilenceOfAllUpstreamsIsNoEvidence failed before the change: 30 flows on six upstreams counted as dead.

--- a/inband/reset_proof_test.go
+++ b/inband/reset_proof_test.go
@@ -335,6 +335,7 @@
 		h.advance(2 * time.Millisecond)
 	}
 	h.advance(780 * time.Millisecond)
+	h.respondElsewhere()
 	h.Expect(h.decide(p).Action).To(Equal(inband.ActionReset), "no response to a copy that was forwarded 780 ms ago")
 }
 
--- a/inband/steerer_test.go
+++ b/inband/steerer_test.go
@@ -106,6 +106,13 @@
 	return p, v.Upstream
 }
 
+// respondElsewhere makes an upstream of another service respond on a flow of its own, which shows that callers receive
+// packets.
+func (h *harness) respondElsewhere() {
+	h.catalog.ApplyChanges([]*catalog.Upstream{upstream("elsewhere", "galerij", "schuur")}, nil, nil)
+	h.open(downloadAddress)
+}
+
 func withData(p platform.Packet) platform.Packet {
 	p.PayloadBytes = 200
 	return p
@@ -308,6 +315,7 @@
 		}
 		h.Expect(send(time.Second)).To(Equal(inband.ActionForward))
 		h.Expect(send(200*time.Millisecond)).To(Equal(inband.ActionForward), "one retransmission may be a lost packet")
+		h.respondElsewhere()
 		h.Expect(send(400 * time.Millisecond)).To(Equal(c.second))
 		if c.second == inband.ActionForward {
 			h.Expect(send(800 * time.Millisecond)).To(Equal(c.third))
@@ -334,6 +342,7 @@
 	for _, gap := range []time.Duration{0, 200 * time.Millisecond, 400 * time.Millisecond} {
 		h.advance(gap)
 		h.Expect(h.steerer.TakeEndedFlows()).To(BeEmpty())
+		h.respondElsewhere()
 		for _, p := range []platform.Packet{first, second} {
 			h.Expect(h.decide(withData(p)).Action).To(Equal(inband.ActionForward), "the request may have run")
 		}
--- a/suspicion/suspicion.go
+++ b/suspicion/suspicion.go
@@ -62,6 +62,8 @@
 // Tracker holds the evidence on each upstream, by upstream key.
 type Tracker struct {
 	evidence map[uint64]*upstreamEvidence
+	// progress is the last progress of each of the two upstreams that made progress last, the latest first.
+	progress [2]upstreamProgress
 	changes  []HealthChange
 }
 
@@ -122,6 +124,10 @@
 		t.recordChange(upstream, "heard", "a caller received packets from the upstream")
 	}
 	e.lastProgress, e.suspectUntil, e.deadUntil = now, time.Time{}, time.Time{}
+	if t.progress[0].upstream != upstream {
+		t.progress[1] = t.progress[0]
+	}
+	t.progress[0] = upstreamProgress{upstream, now}
 	clear(e.stalledFlows)
 }
 
@@ -146,7 +152,8 @@
 }
 
 // RecordRetransmission records a retransmission on a flow: the count-th one of data that was first
-// sent at sentAt. It reports whether the flow counts as dead.
+// sent at sentAt. It reports whether the flow counts as dead, which it does only if another upstream has made
+// progress since.
 func (t *Tracker) RecordRetransmission(upstream, flow uint64, count int, sentAt, now time.Time) bool {
 	e := t.evidenceFor(upstream)
 	if now.Sub(sentAt) < minRetransmissionDelay {
@@ -156,7 +163,8 @@
 	if now.Sub(e.lastProgress) <= progressTimeout {
 		return false
 	}
-	isFlowDead := count >= RetransmissionsUntilDead && now.Sub(sentAt) >= minSecondRetransmissionDelay
+	// Without progress of another upstream the callers may receive nothing at all.
+	isFlowDead := count >= RetransmissionsUntilDead && now.Sub(sentAt) >= minSecondRetransmissionDelay && t.hasOtherProgress(upstream, sentAt)
 	if isFlowDead || len(e.stalledFlows) >= minStalledFlows {
 		t.markSuspect(upstream, now, "data was repeated")
 	}
@@ -171,6 +179,22 @@
 	return isFlowDead && (len(e.stalledFlows) >= minStalledFlows || count >= RetransmissionsUntilDeadAlone)
 }
 
+// upstreamProgress is the last progress of an upstream.
+type upstreamProgress struct {
+	upstream uint64
+	at       time.Time
+}
+
+// hasOtherProgress reports whether another upstream has made progress after t.
+func (t *Tracker) hasOtherProgress(upstream uint64, after time.Time) bool {
+	for _, p := range t.progress {
+		if p.upstream != upstream && p.at.After(after) {
+			return true
+		}
+	}
+	return false
+}
+
 // Retain drops the evidence on upstreams for which keep returns false.
 func (t *Tracker) Retain(keep func(upstream uint64) bool) {
 	for upstream := range t.evidence {
--- a/suspicion/suspicion_test.go
+++ b/suspicion/suspicion_test.go
@@ -33,6 +33,7 @@
 	tr.RecordRetransmission(1, 10, 1, at(200), at(400))
 	g.Expect(tr.RecordRetransmission(1, 11, 1, at(210), at(410))).To(BeFalse(), "one retransmission is not enough")
 	g.Expect(tr.IsSuspect(1, at(410))).To(BeTrue(), "data of two flows was retransmitted")
+	tr.RecordProgress(2, at(300))
 	g.Expect(tr.RecordRetransmission(1, 10, 2, at(200), at(800))).To(BeTrue())
 	tr.RecordProgress(1, at(900))
 	g.Expect(tr.IsSuspect(1, at(900))).To(BeFalse())
@@ -63,6 +64,7 @@
 	g := NewWithT(t)
 	tr := suspicion.NewTracker()
 	tr.RecordProgress(1, at(0))
+	tr.RecordProgress(2, at(600))
 	tr.RecordRetransmission(1, 10, 1, at(100), at(400))
 	tr.RecordRetransmission(1, 10, 2, at(100), at(700))
 	g.Expect(tr.IsDead(1, at(700))).To(BeFalse(), "only one flow is stalled")
@@ -76,3 +78,32 @@
 	tr.RecordProgress(1, at(2400))
 	g.Expect(tr.IsDead(1, at(2400))).To(BeFalse())
 }
+
+// Guards against all upstreams that count as dead at once, whose flows would all end, while the callers receive nothing:
+// they or the way back to them stand still (review/1 with TROUBLE=0). Silence is evidence against an upstream only once
+// another one has made progress after the data was sent.
+func TestSilenceOfAllUpstreamsIsNoEvidence(t *testing.T) {
+	g := NewWithT(t)
+	tr := suspicion.NewTracker()
+	for upstream := range uint64(6) {
+		tr.RecordProgress(upstream, at(0))
+	}
+	send := func(count, ms int) (dead int) {
+		for upstream := range uint64(6) {
+			for flow := range uint64(5) {
+				if tr.RecordRetransmission(upstream, 10*upstream+flow, count, at(10), at(ms)) || tr.IsDead(upstream, at(ms)) {
+					dead++
+				}
+			}
+		}
+		return dead
+	}
+	for count, ms := range []int{0, 210, 610, 1410, 3010} {
+		if count > 0 {
+			g.Expect(send(count, ms)).To(BeZero())
+		}
+	}
+	tr.RecordProgress(3, at(3100))
+	g.Expect(send(5, 4610)).To(BeNumerically(">=", 20), "all but the one that responds")
+	g.Expect(tr.IsDead(3, at(4610))).To(BeFalse())
+}
