--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -81,7 +81,7 @@
 	reports *reportRelay
 	traffic *trafficBudget
 	clock   stampClock
-	// questions are those that this daemon has asked.
+	// questions limits those that this daemon asks.
 	questions *questions
 	// isLeaving is set when this daemon is shutting down.
 	isLeaving atomic.Bool
@@ -107,7 +107,8 @@
 	}
 	f := &Fleet{
 		options: o, port: local.Port(), members: newMembers(local.Addr()), tickedAt: time.Now(),
-		http: &http.Client{Transport: o.Transport}, reports: newReportRelay(), traffic: newTrafficBudget(), questions: newQuestions(), clock: newStampClock(time.Now()),
+		http: &http.Client{Transport: o.Transport}, reports: newReportRelay(), traffic: newTrafficBudget(),
+		clock: newStampClock(time.Now()), questions: newQuestions(),
 	}
 	if o.CountsDaemons {
 		f.census = newCensus(local.Addr(), f.tickedAt)
