Count silence only on flows that were answered

Change: copies of data count against an upstream, and a flow ends for its silence, only if this daemon has seen an answer on that flow.

TestSilenceOnUnansweredFlowIsNoEvidence failed before the change (three resets of open flows).

--- a/inband/reset_proof_test.go
+++ b/inband/reset_proof_test.go
@@ -202,6 +202,41 @@
 	h.Expect(h.decide(moved).Upstream.Address).To(Equal(own.Address))
 }
 
+// Guards against resets of flows that reach a daemon for the first time while an entry of another writer is in force
+// (review/8): their packets go where nothing responds, which says nothing about their upstream. Once such a flow is
+// answered, silence on it counts.
+func TestSilenceOnUnansweredFlowIsNoEvidence(t *testing.T) {
+	own, foreign := incarnation("a", 2), incarnation("a", 1)
+	foreign.Address = netip.MustParseAddrPort("10.9.9.9:9")
+	h := newHarness(t, foreign)
+	var packets []platform.Packet
+	for range 3 {
+		packets = append(packets, withData(platform.Packet{Flow: h.newFlowKey(safeAddress), Token: h.token("a", safeAddress),
+			Sequence: 1, Acknowledged: 100, Acknowledges: true}))
+	}
+	// sendCopies sends data and three copies, and returns the reasons of the resets.
+	sendCopies := func() (resets []inband.Reason) {
+		for _, gap := range []time.Duration{time.Second, 200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond} {
+			h.advance(gap)
+			for _, p := range packets {
+				if v := h.decide(p); v.Action == inband.ActionReset {
+					resets = append(resets, v.Reason)
+				}
+			}
+			h.respondElsewhere()
+		}
+		return resets
+	}
+	h.Expect(sendCopies()).To(BeEmpty())
+	h.catalog.ApplyChanges([]*catalog.Upstream{own}, nil, nil)
+	h.Expect(sendCopies()).To(BeEmpty())
+	h.Expect(h.steerer.TakeEndedFlows()).To(BeEmpty())
+	for i := range packets {
+		packets[i].Sequence, packets[i].Acknowledged = packets[i].Sequence+200, packets[i].Acknowledged+600
+	}
+	h.Expect(sendCopies()).To(HaveEach(inband.ReasonUpstreamDead))
+}
+
 // Guards against a reset by a daemon that has started while the entry of an upstream can't be read (review/9): the list
 // has an entry under the ID, so it is no proof that there is no such upstream. The flow goes on once the entry can be
 // read again, and ends only after the entry was removed.
--- a/inband/steerer.go
+++ b/inband/steerer.go
@@ -429,13 +429,16 @@
 	case eventProgress:
 		s.tracker.RecordProgress(upstream, now)
 	case eventRetransmission:
+		if !f.isAnswered { // The packets may go to the address of another process.
+			break
+		}
 		wasDead := s.tracker.IsDead(upstream, now)
 		isDead = s.tracker.RecordRetransmission(upstream, p.Flow.Hash(), f.retransmissions, f.sentAt, now)
 		if !wasDead && s.tracker.IsDead(upstream, now) {
 			s.endIdleFlows(known, upstream, now)
 		}
 	}
-	return isDead || p.PayloadBytes > 0 && s.tracker.IsDead(upstream, now)
+	return isDead || f.isAnswered && p.PayloadBytes > 0 && s.tracker.IsDead(upstream, now)
 }
 
 // addFlow adds a flow to the table, in place of an earlier one with the same key.
