--- a/discovery/suspension_test.go
+++ b/discovery/suspension_test.go
@@ -48,16 +48,6 @@
 	return syncer
 }
 
-// entryStore lists the same records at each call.
-type entryStore struct {
-	slowStore
-	records []store.Record
-}
-
-func (s *entryStore) ListPage(context.Context, store.Kind, string, store.Consistency) (store.Page, error) {
-	return store.Page{AsOf: 5, Records: s.records}, nil
-}
-
 // Guards against a configuration that counts as proof on a flow that was opened after it was read.
 func TestConfigurationProof(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/inband/flow.go
+++ b/inband/flow.go
@@ -98,14 +98,8 @@
 	f.lastSeen = now
 	observed := eventNone
 	if !f.isOpen || int32(p.Acknowledged-f.acknowledged) > 0 {
-		f.isAnswered = f.isAnswered || wasPlacedHere || f.isBusy
-		if !f.isOpen {
-			f.openSince = now
-		}
-		f.isOpen, f.acknowledged, f.retransmissions = true, p.Acknowledged, 0
-		f.dataStart = p.Sequence
+		f.acknowledge(p, wasPlacedHere, now)
 		observed = eventProgress
-		f.isBusy = false
 	}
 	f.isBusy = f.isBusy || p.PayloadBytes > 0
 	if p.PayloadBytes == 0 {
@@ -135,6 +129,17 @@
 	return eventRetransmission
 }
 
+// acknowledge updates the flow with a packet that opens it or shows that the caller has received data. wasPlacedHere is
+// set if this daemon forwarded the opening packet.
+func (f *flow) acknowledge(p platform.Packet, wasPlacedHere bool, now time.Time) {
+	f.isAnswered = f.isAnswered || wasPlacedHere || f.isBusy
+	if !f.isOpen {
+		f.openSince = now
+	}
+	f.isOpen, f.acknowledged, f.retransmissions = true, p.Acknowledged, 0
+	f.dataStart, f.isBusy = p.Sequence, false
+}
+
 // minCopyInterval is the shortest time between two copies of the same data as its caller sends them: 200 ms,
 // less variations of the network. Copies that are received sooner after one another waited together on this
 // VM, so that the upstream had no time to respond to the earlier one.
