--- a/review/_standin3/foreign.go
+++ b/review/_standin3/foreign.go
@@ -10,8 +10,13 @@
 
 const (
 	flowCount = 200
-	// overwrittenCount is the number of endpoints whose entries another writer overwrites once.
-	overwrittenCount = 3
+	// overwrittenCount is the number of endpoints whose entries another writer overwrites.
+	overwrittenCount = 4
+	// foreignRounds is how often the other writer writes each of them, foreignDelay the time until it begins, and
+	// foreignInterval the time between two rounds.
+	foreignRounds   = 2
+	foreignDelay    = 50 * time.Millisecond
+	foreignInterval = 1600 * time.Millisecond
 	// longestPause is the longest pause between two requests on a flow.
 	longestPause = 3 * time.Second
 	// feedDeadline is the deadline of stock-feed, and workTime a usual time that it takes.
@@ -129,7 +134,7 @@
 }
 
 // playForeign adds a daemon, so that the routers send most flows to other daemons than before, and lets another writer
-// write one entry over that of each of three endpoints. It checks FLOW (a).
+// write over the entries of four endpoints. It checks FLOW (a).
 func playForeign(c *cluster, isTroubled bool) (int, error) {
 	from, err := startClient(c.address(6, 1, 2), c.route)
 	if err != nil {
@@ -154,12 +159,14 @@
 		return failed, err
 	}
 	c.record.Printf("%s is in rotation", d.name)
-	time.Sleep(200 * time.Millisecond)
-	for _, e := range c.endpoints[:overwrittenCount] {
-		if isTroubled {
-			c.writeForeign(e)
-			time.Sleep(100 * time.Millisecond)
+	time.Sleep(foreignDelay)
+	for range foreignRounds {
+		for _, e := range c.endpoints[:overwrittenCount] {
+			if isTroubled {
+				c.writeForeign(e)
+			}
 		}
+		time.Sleep(foreignInterval)
 	}
 	time.Sleep(12 * time.Second)
 	j.mu.Lock()
--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -8,6 +8,7 @@
 	"log"
 	"net/netip"
 	"os"
+	"os/signal"
 	"sync"
 	"syscall"
 	"time"
@@ -49,6 +50,7 @@
 	}
 	isTroubled := os.Getenv("TROUBLE") != "0"
 	record.Printf("case %s, trouble %t", os.Args[1], isTroubled)
+	c.stopOnSignal()
 	status, err := run(c, play, isTroubled)
 	if err != nil {
 		record.Printf("cannot run: %v", err)
@@ -59,6 +61,18 @@
 	os.Exit(status)
 }
 
+// stopOnSignal ends all processes that were started, and this one, if this one is told to end.
+func (c *cluster) stopOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		s := <-signals
+		c.record.Printf("ended by a signal: %s", s)
+		c.stop()
+		os.Exit(failed)
+	}()
+}
+
 func run(c *cluster, play func(*cluster, bool) (int, error), isTroubled bool) (int, error) {
 	defer c.stop()
 	c.putConfiguration(7, map[netip.AddrPort]string{feed: "bindery", photo: "galerij"})
