--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -22,8 +22,8 @@
 )
 
 var (
-	feed  = netip.MustParseAddrPort("198.18.0.1:8443")
-	photo = netip.MustParseAddrPort("198.18.0.2:8443")
+	feed  = netip.MustParseAddrPort("127.210.0.1:8443")
+	photo = netip.MustParseAddrPort("127.210.0.2:8443")
 )
 
 func main() {
