--- a/review/_standin3/foreign.go
+++ b/review/_standin3/foreign.go
@@ -61,6 +61,16 @@
 	c.record.Printf("another writer writes an entry of the service archive for %s", e.ID)
 }
 
+// writeForeignEntries does so for the first endpoints of a service.
+func (c *cluster) writeForeignEntries(service string, count int) {
+	for _, e := range c.endpoints {
+		if e.service == service && count > 0 {
+			c.writeForeign(e)
+			count--
+		}
+	}
+}
+
 // keepFlow keeps a flow open for many requests, with pauses between them, and opens another one when it ends.
 func (c *cluster) keepFlow(from *client, number int, j *judgement) {
 	for n := 0; ; {
@@ -134,7 +144,7 @@
 }
 
 // playForeign adds a daemon, so that the routers send most flows to other daemons than before, and lets another writer
-// write over the entries of four endpoints. It checks FLOW (a).
+// write over the entries of four endpoints of a service. It checks FLOW (a).
 func playForeign(c *cluster, isTroubled bool) (int, error) {
 	from, err := startClient(c.address(6, 1, 2), c.route)
 	if err != nil {
@@ -161,10 +171,8 @@
 	c.record.Printf("%s is in rotation", d.name)
 	time.Sleep(foreignDelay)
 	for range foreignRounds {
-		for _, e := range c.endpoints[:overwrittenCount] {
-			if isTroubled {
-				c.writeForeign(e)
-			}
+		if isTroubled {
+			c.writeForeignEntries("bindery", overwrittenCount)
 		}
 		time.Sleep(foreignInterval)
 	}
