--- a/review/_standin3/cluster.go
+++ b/review/_standin3/cluster.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -232,6 +233,17 @@
 	go c.probe()
 }
 
+// withoutPath writes text without the path of the temporary folder.
+type withoutPath struct {
+	io.Writer
+	path string
+}
+
+func (w withoutPath) Write(text []byte) (int, error) {
+	_, err := w.Writer.Write(bytes.ReplaceAll(text, []byte(w.path), []byte("settings")))
+	return len(text), err
+}
+
 // keepRunning starts the process of a daemon again whenever it ends, with the settings in force then.
 func (c *cluster) keepRunning(d *daemon) {
 	defer c.waiters.Done()
@@ -250,7 +262,7 @@
 		}
 		command := exec.Command(c.program, "in-band")
 		command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "FULMARFIELD_CONFIG=" + d.file}
-		command.Stdout, command.Stderr = out, io.MultiWriter(out, c.record.Writer())
+		command.Stdout, command.Stderr = out, io.MultiWriter(out, withoutPath{c.record.Writer(), c.directory})
 		if err := command.Start(); err != nil {
 			c.record.Printf("start of %s: %v", d.name, err)
 			return
