Start with every figure that the platform may state as a bound

Cause: three bounds were parsed as integers and limited to 500 to 60000 ms, the grace period to 1 to 600 s and the limits for cold upstreams to 1e6, although the platform's page sets no limit: bounds are whole numbers, fractions, true or false, and a field that is left out is written as nothing. One such figure refused the whole file, and a process that starts has no other settings to go on with. The error of a line did not name the setting, and NaN passed the check of the grace period.

Change: a figure accepts what the page allows; the times derived from it are limited instead: changes are aimed to be in force within 500 ms to 60 s, as before, and bound_limited names the stated and the used time. A time that is shorter than stated keeps the bound; one that is longer cannot be held, but serves. NaN, infinite, negative and other text are refused by name.

Tests: TestBadSettings refused drain-bound-ms = 10, grace-seconds = 0 and cold-slack = 1000001, which the page allows. It refuses -10, -1 and -1000001 instead, and TestTimesOfFigures states what becomes of small and large figures. evacuation-bound-ms = 0 was off and is the shortest time now; to leave it out is off.

--- a/coldlimit/coldlimit_test.go
+++ b/coldlimit/coldlimit_test.go
@@ -37,6 +37,25 @@
 	return most
 }
 
+// Guards against a limit that overflows, so that no upstream or each one gets packets, with the largest figures of an
+// operator.
+func TestLargestFigures(t *testing.T) {
+	for _, o := range []coldlimit.Options{
+		{Overage: math.MaxFloat64}, {Slack: math.MaxFloat64}, {Overage: math.MaxFloat64, Slack: math.MaxFloat64},
+	} {
+		for _, f := range []coldlimit.Fleet{newFleet(0, 1, 0), newFleet(0, 300, 3), {IsKnown: true, Version: 1, Total: 7900}} {
+			g := NewWithT(t)
+			o.Fleet = func() coldlimit.Fleet { return f }
+			l := coldlimit.New(o)
+			for i := range 1000 {
+				now := start.Add(time.Duration(i) * time.Millisecond)
+				g.Expect(l.Allows(7, 20, now)).To(BeTrue())
+				l.RecordPlacement(7, now)
+			}
+		}
+	}
+}
+
 // Guards against daemons that send more than the limit together, while each has as many callers as it takes: the sets of
 // daemons differ, daemons restart without state, and packets of one second arrive in the next.
 func TestSumKeepsToLimit(t *testing.T) {
--- a/edge/app.go
+++ b/edge/app.go
@@ -129,7 +129,7 @@
 				return discovery.NewSyncer(discovery.Options{
 					Store: s, Catalog: c, Counters: n, Logger: logger, PropagationBound: settings.propagationBound(),
 					Suspended:   suspension.NewMeter(logger),
-					Evacuations: settings.EvacuationBound != 0,
+					Evacuations: settings.readsEvacuations(),
 				})
 			},
 			newDaemon,
@@ -157,7 +157,7 @@
 	d.fleet = fleet.New(fleet.Options{
 		Conn: peerConn, Zone: s.Zone, Syncer: recordSyncer, Counters: n, Logger: logger,
 		Seeds:         func() []netip.Addr { return *d.seeds.Load() },
-		CountsDaemons: s.EvacuationBound != 0 || s.Admission == admissionOn,
+		CountsDaemons: s.readsEvacuations() || s.Admission == admissionOn,
 	})
 	recordSyncer.SetPeers(d.fleet, d.fleet.Gossip)
 	d.loop = &packetLoop{
@@ -204,6 +204,7 @@
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			d.logger.Info().Str("event", eventStarted).Str("zone", d.settings.Zone).Send()
+			d.logBound()
 			for i, server := range d.servers {
 				go func() {
 					if err := server.Serve(d.listeners[i]); !errors.Is(err, http.ErrServerClosed) {
--- a/edge/coldlimit.go
+++ b/edge/coldlimit.go
@@ -9,8 +9,10 @@
 // newColdLimit returns the limit for cold upstreams, or nil if the daemon does not read evacuations: without them the
 // daemon does not count the other daemons.
 func newColdLimit(s *Settings, f *fleet.Fleet) inband.ColdLimit {
-	if s.EvacuationBound == 0 {
+	if !s.readsEvacuations() {
 		return nil
 	}
-	return coldlimit.New(coldlimit.Options{Overage: s.ColdOverage, Slack: s.ColdSlack, Fleet: f.Roster})
+	return coldlimit.New(coldlimit.Options{
+		Overage: s.ColdOverage.or(defaultColdOverage), Slack: s.ColdSlack.or(defaultColdSlack), Fleet: f.Roster,
+	})
 }
--- a/edge/logging.go
+++ b/edge/logging.go
@@ -19,6 +19,7 @@
 	eventReloaded        = "settings_reloaded"
 	eventReloadRefused   = "settings_refused"
 	eventRestartNeeded   = "settings_need_restart"
+	eventBoundLimited    = "bound_limited"
 	eventLinesSuppressed = "log_lines_left_out"
 	eventLinesDropped    = "log_lines_lost"
 	eventFlow            = "flow"
--- a/edge/reload.go
+++ b/edge/reload.go
@@ -64,3 +64,17 @@
 	d.counters.Count("settings.reloaded")
 	d.logger.Info().Str("event", eventReloaded).Str("cause", cause).Send()
 }
+
+// logBound writes a line if the daemon aims at another time than the settings state, since that is too short or too
+// long.
+func (d *Daemon) logBound() {
+	stated, used := d.settings.statedBoundMs(), d.settings.propagationBound()
+	if stated == float64(used)/float64(time.Millisecond) {
+		return
+	}
+	level := zerolog.InfoLevel
+	if used == shortestPropagationBound {
+		level = zerolog.WarnLevel
+	}
+	d.logger.WithLevel(level).Str("event", eventBoundLimited).Float64("stated_ms", stated).Dur("used_ms", used).Send()
+}
