Apply changed bounds while an in-band daemon runs

An operator that shortened drain_ms got daemons that followed changes as late as the earlier bound allows, with no one on the platform who would restart them.

Cause: the bound was copied into the syncer, the steerer and the limit for cold upstreams when they were created.

Change: each of the three has a method that changes it, which is safe beside the goroutine of the packets. Records that are too old for a shorter bound are read at once. Whether evacuations are read at all still needs a restart, and is named in settings_need_restart.

--- a/coldlimit/coldlimit.go
+++ b/coldlimit/coldlimit.go
@@ -6,6 +6,7 @@
 import (
 	"math"
 	"slices"
+	"sync/atomic"
 	"time"
 )
 
@@ -44,15 +45,20 @@
 // Options are the settings and dependencies of a Limiter.
 type Options struct {
 	// Overage is the factor by which the rate of a service is exceeded at most, and Slack the number of packets
-	// by which it is exceeded in addition.
+	// by which it is exceeded in addition, until SetMargins sets others.
 	Overage, Slack float64
 	// Fleet returns the daemons that may be running.
 	Fleet func() Fleet
 }
 
-// Limiter decides whether this daemon may place flows on cold upstreams. It must be used by one goroutine only.
+// margins are by how much the rate of a service is exceeded at most.
+type margins struct{ overage, slack float64 }
+
+// Limiter decides whether this daemon may place flows on cold upstreams. It must be used by one goroutine only, but for
+// SetMargins.
 type Limiter struct {
 	options   Options
+	margins   atomic.Pointer[margins]
 	upstreams map[uint64]*upstream
 	sweptAt   time.Time
 	// fleet is the result of Options.Fleet at fleetAt.
@@ -71,7 +77,15 @@
 }
 
 // New returns a Limiter without recorded placements.
-func New(o Options) *Limiter { return &Limiter{options: o, upstreams: map[uint64]*upstream{}} }
+func New(o Options) *Limiter {
+	l := &Limiter{options: o, upstreams: map[uint64]*upstream{}}
+	l.SetMargins(o.Overage, o.Slack)
+	return l
+}
+
+// SetMargins changes by how much the rate of a service is exceeded at most, as in Options. It may be called
+// concurrently with the other methods.
+func (l *Limiter) SetMargins(overage, slack float64) { l.margins.Store(&margins{overage, slack}) }
 
 // IsLimited reports whether a rate in packets a second is a limit. Rates that are 0, negative, not finite or above
 // 1e6 are not.
@@ -83,7 +97,8 @@
 	if !IsLimited(rate) {
 		return true
 	}
-	limit := int(min(rate*l.options.Overage+l.options.Slack, maxLimit))
+	m := l.margins.Load()
+	limit := int(min(rate*m.overage+m.slack, maxLimit))
 	if l.fleetAt.IsZero() || !l.fleetAt.Equal(now) {
 		l.fleet, l.fleetAt = l.options.Fleet(), now
 	}
--- a/coldlimit/coldlimit_test.go
+++ b/coldlimit/coldlimit_test.go
@@ -56,6 +56,21 @@
 	}
 }
 
+// Guards against margins that change without an effect on the limit.
+func TestChangedMargins(t *testing.T) {
+	g, fleet := NewWithT(t), newFleet(0, 1, 0)
+	l := coldlimit.New(coldlimit.Options{Fleet: func() coldlimit.Fleet { return fleet }})
+	g.Expect(l.Allows(7, 20, start)).To(BeFalse())
+	l.SetMargins(0, 1.5)
+	g.Expect(l.Allows(7, 20, start)).To(BeTrue())
+	l.RecordPlacement(7, start)
+	g.Expect(l.Allows(7, 20, start)).To(BeFalse())
+	l.SetMargins(0.1, 0)
+	g.Expect(l.Allows(7, 20, start)).To(BeTrue())
+	l.RecordPlacement(7, start)
+	g.Expect(l.Allows(7, 20, start)).To(BeFalse())
+}
+
 // Guards against daemons that send more than the limit together, while each has as many callers as it takes: the sets of
 // daemons differ, daemons restart without state, and packets of one second arrive in the next.
 func TestSumKeepsToLimit(t *testing.T) {
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -69,7 +69,8 @@
 	Catalog  *catalog.Catalog
 	Counters *telemetry.Counters
 	Logger   zerolog.Logger
-	// PropagationBound is the time in which a change must be in force on this daemon.
+	// PropagationBound is the time in which a change must be in force on this daemon, until SetPropagationBound
+	// sets another one.
 	PropagationBound time.Duration
 	// Evacuations selects that evacuations of zones are synchronised, too.
 	Evacuations bool
@@ -100,8 +101,10 @@
 // inband queries their freshness. Its methods may be called concurrently.
 type Syncer struct {
 	options Options
-	peers   Peers
-	breaker breaker
+	// propagationBound is the bound in force, in nanoseconds.
+	propagationBound atomic.Int64
+	peers            Peers
+	breaker          breaker
 	// wake ends the wait for the next read of a kind early.
 	wake map[store.Kind]chan struct{}
 	// advanced wakes the watch of a kind when the version of its cached records has increased.
@@ -155,6 +158,7 @@
 		kinds: map[store.Kind]*kindState{}, listRequested: map[store.Kind]*atomic.Bool{},
 		published: map[store.Kind]*atomic.Pointer[freshness]{},
 	}
+	s.propagationBound.Store(int64(o.PropagationBound))
 	if o.Suspended != nil {
 		s.suspended.Store(int64(o.Suspended()))
 	}
@@ -172,6 +176,18 @@
 	return s
 }
 
+// SetPropagationBound changes the time in which a change must be in force on this daemon. Records that are too old
+// for it are read at once.
+func (s *Syncer) SetPropagationBound(bound time.Duration) {
+	s.propagationBound.Store(int64(bound))
+	for _, kind := range s.Kinds() {
+		notify(s.wake[kind])
+	}
+}
+
+// bound returns the time in which a change must be in force on this daemon.
+func (s *Syncer) bound() time.Duration { return time.Duration(s.propagationBound.Load()) }
+
 // SetPeers sets the daemons from which records are read besides the store, and the function that is
 // called after a record set has validated the cached records. It must be called before Run.
 func (s *Syncer) SetPeers(peers Peers, onValidated func()) {
--- a/discovery/eraproof.go
+++ b/discovery/eraproof.go
@@ -112,7 +112,7 @@
 // as well. The caller holds s.mu.
 func (s *Syncer) hearEraLocked(ad Advertisement) {
 	k, now := s.kinds[ad.Kind], time.Now()
-	wasRefuted := !s.proof.refutedAt.IsZero() && now.Sub(s.proof.refutedAt) < s.options.PropagationBound
+	wasRefuted := !s.proof.refutedAt.IsZero() && now.Sub(s.proof.refutedAt) < s.bound()
 	if wasRefuted || s.proof.witnesses[ad.From] == ad.Era {
 		s.options.Counters.CountDrop("advertisement_era_unproven")
 		return
@@ -144,7 +144,7 @@
 	case s.breaker.isOpen():
 		return k.heardAt, true
 	default:
-		return k.heardAt.Add(time.Duration(float64(s.options.PropagationBound) * jitterShare * k.jitter)), true
+		return k.heardAt.Add(time.Duration(float64(s.bound()) * jitterShare * k.jitter)), true
 	}
 }
 
--- a/discovery/revalidate.go
+++ b/discovery/revalidate.go
@@ -107,7 +107,7 @@
 		s.mu.Lock()
 		s.accountSuspensionLocked()
 		k := s.kinds[kind]
-		at, cause := k.freshness.nextRead(s.options.PropagationBound, k.jitter)
+		at, cause := k.freshness.nextRead(s.bound(), k.jitter)
 		if s.listRequested[kind].Load() {
 			at, cause = time.Time{}, causeRequested
 		}
--- a/discovery/watch.go
+++ b/discovery/watch.go
@@ -64,7 +64,7 @@
 				continue
 			}
 			// Further changes accumulate during this delay.
-			least := batchDelay(s.options.PropagationBound, s.daemonCount())
+			least := batchDelay(s.bound(), s.daemonCount())
 			if err := wait.For(ctx, least+rand.N(least)); err != nil {
 				return err
 			}
--- a/edge/app.go
+++ b/edge/app.go
@@ -18,6 +18,7 @@
 	"go.uber.org/fx"
 
 	"github.com/fulmarfield/fulmarfield/catalog"
+	"github.com/fulmarfield/fulmarfield/coldlimit"
 	"github.com/fulmarfield/fulmarfield/discovery"
 	"github.com/fulmarfield/fulmarfield/fleet"
 	"github.com/fulmarfield/fulmarfield/inband"
@@ -63,13 +64,15 @@
 
 // Daemon is the running daemon.
 type Daemon struct {
-	settings     *Settings
-	catalog      *catalog.Catalog
-	syncer       *discovery.Syncer
-	fleet        *fleet.Fleet
-	conn         wire.Conn
-	peerConn     wire.Conn
-	loop         *packetLoop
+	settings *Settings
+	catalog  *catalog.Catalog
+	syncer   *discovery.Syncer
+	fleet    *fleet.Fleet
+	conn     wire.Conn
+	peerConn wire.Conn
+	loop     *packetLoop
+	// coldLimit is nil if the daemon does not read evacuations.
+	coldLimit    *coldlimit.Limiter
 	counters     *telemetry.Counters
 	logger       zerolog.Logger
 	isLeaving    atomic.Bool
@@ -160,6 +163,10 @@
 		CountsDaemons: s.readsEvacuations() || s.Admission == admissionOn,
 	})
 	recordSyncer.SetPeers(d.fleet, d.fleet.Gossip)
+	var coldLimit inband.ColdLimit
+	if d.coldLimit = newColdLimit(s, d.fleet); d.coldLimit != nil {
+		coldLimit = d.coldLimit
+	}
 	d.loop = &packetLoop{
 		conn: conn, catalog: c, counters: n, verdicts: newVerdictCounters(n), latency: newLatencies(n), costs: newCostMetrics(n), output: output, logger: logger, lastPacketAt: &d.lastPacketAt,
 		peers: d.fleet, pauses: newPauseDetector(time.Now()),
@@ -173,7 +180,7 @@
 			Random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 			DaemonCount: func() int { return 1 + d.fleet.DaemonCount() },
 			FleetSize:   d.fleet.SizeAtLeast, Admission: s.Admission == admissionOn,
-			ColdLimit: newColdLimit(s, d.fleet), PlacesByCost: s.Placement == placementByCost,
+			ColdLimit: coldLimit, PlacesByCost: s.Placement == placementByCost,
 		}),
 	}
 	for address, handler := range map[string]http.Handler{s.ReadyAddress: d.readyHandler(), s.AdminAddress: d.adminHandler()} {
--- a/edge/coldlimit.go
+++ b/edge/coldlimit.go
@@ -3,16 +3,15 @@
 import (
 	"github.com/fulmarfield/fulmarfield/coldlimit"
 	"github.com/fulmarfield/fulmarfield/fleet"
-	"github.com/fulmarfield/fulmarfield/inband"
 )
 
 // newColdLimit returns the limit for cold upstreams, or nil if the daemon does not read evacuations: without them the
 // daemon does not count the other daemons.
-func newColdLimit(s *Settings, f *fleet.Fleet) inband.ColdLimit {
+func newColdLimit(s *Settings, f *fleet.Fleet) *coldlimit.Limiter {
 	if !s.readsEvacuations() {
 		return nil
 	}
 	return coldlimit.New(coldlimit.Options{
-		Overage: s.ColdOverage.or(defaultColdOverage), Slack: s.ColdSlack.or(defaultColdSlack), Fleet: f.Roster,
+		Overage: s.coldOverage(), Slack: s.coldSlack(), Fleet: f.Roster,
 	})
 }
--- a/edge/reload.go
+++ b/edge/reload.go
@@ -61,10 +61,30 @@
 	zerolog.SetGlobalLevel(next.logLevel())
 	d.settings.GraceSeconds = next.GraceSeconds
 	d.setSeeds(next)
+	d.setBounds(next)
 	d.counters.Count("settings.reloaded")
 	d.logger.Info().Str("event", eventReloaded).Str("cause", cause).Send()
 }
 
+// setBounds applies the bounds of validated settings, except whether evacuations are read.
+func (d *Daemon) setBounds(next *Settings) {
+	earlier := d.settings.statedBoundMs()
+	d.settings.ConfigurationBound, d.settings.DrainBound = next.ConfigurationBound, next.DrainBound
+	if next.readsEvacuations() == d.settings.readsEvacuations() {
+		d.settings.EvacuationBound = next.EvacuationBound
+	}
+	bound := d.settings.propagationBound()
+	d.syncer.SetPropagationBound(bound)
+	d.loop.steerer.SetPropagationBound(bound)
+	if d.settings.statedBoundMs() != earlier {
+		d.logBound()
+	}
+	d.settings.ColdOverage, d.settings.ColdSlack = next.ColdOverage, next.ColdSlack
+	if d.coldLimit != nil {
+		d.coldLimit.SetMargins(next.coldOverage(), next.coldSlack())
+	}
+}
+
 // logBound writes a line if the daemon aims at another time than the settings state, since that is too short or too
 // long.
 func (d *Daemon) logBound() {
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -136,8 +136,12 @@
 	for i := range a.NumField() {
 		field := a.Type().Field(i)
 		switch field.Name {
-		case "LogLevel", "GraceSeconds", "Seeds":
+		case "LogLevel", "GraceSeconds", "Seeds", "ConfigurationBound", "DrainBound", "ColdOverage", "ColdSlack", "UpstreamHeartbeat":
 			continue
+		case "EvacuationBound":
+			if s.readsEvacuations() == next.readsEvacuations() {
+				continue
+			}
 		}
 		if !a.Field(i).Equal(b.Field(i)) {
 			names = append(names, field.Tag.Get("long"))
@@ -169,6 +173,10 @@
 // readsEvacuations reports whether evacuations of zones are synchronised.
 func (s *Settings) readsEvacuations() bool { return s.EvacuationBound.isInForce }
 
+// coldOverage and coldSlack return by how much cold upstreams may exceed the cold rate of their service.
+func (s *Settings) coldOverage() float64 { return s.ColdOverage.or(defaultColdOverage) }
+func (s *Settings) coldSlack() float64   { return s.ColdSlack.or(defaultColdSlack) }
+
 // seedAddresses returns the IP addresses of the seeds, or a *setting.Error.
 func (s *Settings) seedAddresses() ([]netip.Addr, error) {
 	var seeds []netip.Addr
--- a/edge/settings_test.go
+++ b/edge/settings_test.go
@@ -86,8 +86,8 @@
 	g.Expect(s.propagationBound()).To(Equal(3 * time.Second))
 	g.Expect(s.gracePeriod()).To(Equal(6 * time.Second))
 	g.Expect(s.readsEvacuations()).To(BeTrue())
-	g.Expect(s.ColdOverage.or(defaultColdOverage)).To(Equal(1.5))
-	g.Expect(s.ColdSlack.or(defaultColdSlack)).To(Equal(5.0))
+	g.Expect(s.coldOverage()).To(Equal(1.5))
+	g.Expect(s.coldSlack()).To(Equal(5.0))
 }
 
 // Guards against a changed address that is reported as applied although it needs a restart.
--- a/inband/steerer.go
+++ b/inband/steerer.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/fulmarfield/fulmarfield/catalog"
@@ -51,7 +52,8 @@
 	Zone      string
 	Catalog   interface{ Current() *catalog.Snapshot }
 	Freshness Freshness
-	// PropagationBound is the time within which a change must be in force on this daemon.
+	// PropagationBound is the time within which a change must be in force on this daemon, until SetPropagationBound
+	// sets another one.
 	PropagationBound time.Duration
 	Random           *rand.Rand
 	// DaemonCount returns the number of daemons that are known, this one included.
@@ -89,10 +91,12 @@
 	OpenFor time.Duration
 }
 
-// Steerer decides how packets are handled. It must be used by one goroutine only.
+// Steerer decides how packets are handled. It must be used by one goroutine only, but for SetPropagationBound.
 type Steerer struct {
 	options Options
-	flows   map[wire.FlowKey]*flow
+	// propagationBound is the bound in force, in nanoseconds.
+	propagationBound atomic.Int64
+	flows            map[wire.FlowKey]*flow
 	// flowsByUpstream is the number of unfinished flows in the table by upstream key.
 	flowsByUpstream map[uint64]int
 	// work holds the requests that wait for a response.
@@ -130,10 +134,15 @@
 		tracker: suspicion.NewTracker(), unresolvedFlows: map[unresolvedFlow]time.Time{},
 		withoutUpstreamSince: map[netip.AddrPort]time.Time{},
 	}
+	s.propagationBound.Store(int64(o.PropagationBound))
 	s.admission = newAdmissionQueue(s)
 	return s
 }
 
+// SetPropagationBound changes the time within which a change must be in force on this daemon. It may be called
+// concurrently with the other methods.
+func (s *Steerer) SetPropagationBound(bound time.Duration) { s.propagationBound.Store(int64(bound)) }
+
 // FlowCount returns the number of flows in the table.
 func (s *Steerer) FlowCount() int { return len(s.flows) }
 
@@ -252,7 +261,7 @@
 // refuseRoute handles an opening packet to an address without a route.
 func (s *Steerer) refuseRoute(now time.Time) Verdict {
 	if now.Sub(s.options.Freshness.ConfigValidatedAt()) >
-		time.Duration(maxStalenessShare*float64(s.options.PropagationBound)) {
+		time.Duration(maxStalenessShare*float64(s.propagationBound.Load())) {
 		return drop(ReasonRouteUnvalidated)
 	}
 	return reset(ReasonNoRoute)
--- a/inband/steerer_test.go
+++ b/inband/steerer_test.go
@@ -253,6 +253,16 @@
 	h.Expect(h.decide(p)).To(Equal(inband.Verdict{Action: inband.ActionDrop, Reason: inband.ReasonRouteUnvalidated}))
 }
 
+// Guards against a bound that changes without an effect on how stale the configuration may be.
+func TestMissingRouteAfterChangedBound(t *testing.T) {
+	h := newHarness(t, upstream("b", "bindery", "schuur"))
+	p := platform.Packet{Flow: h.newFlowKey(netip.MustParseAddrPort("198.18.0.9:80")), Opens: true}
+	h.advance(2500 * time.Millisecond)
+	h.Expect(h.decide(p).Reason).To(Equal(inband.ReasonRouteUnvalidated))
+	h.steerer.SetPropagationBound(time.Minute)
+	h.Expect(h.decide(p).Reason).To(Equal(inband.ReasonNoRoute))
+}
+
 // Guards against a retransmitted opening packet that goes to the same upstream, which did not respond.
 func TestRetransmittedOpenGoesToAnotherUpstream(t *testing.T) {
 	h := newHarness(t, upstream("a", "bindery", "schuur"), upstream("b", "bindery", "schuur"), upstream("c", "bindery", "schuur"))
