Follow the address of the store that the settings name

Cause: the client of the store kept the address of the start. The change was named in settings_need_restart, as docs/OPERATIONS.md said, but on the platform nobody restarts a process after SIGHUP. It is the same path as that of the bounds: a setting that the template fills in and that can be used has to take effect.

Change: the client's address can be set, which a reload does (store_address_changed in the log). Calls in progress end at the earlier address. What still needs a restart are the daemon's own name, zone and listening addresses, admission and placement, log-lines, and whether evacuations are read.

Evidence: TestChangedStoreAddressIsFollowed failed before (version 7 in force 3 s after 9 was written), and passes.

--- a/edge/app.go
+++ b/edge/app.go
@@ -64,13 +64,14 @@
 
 // Daemon is the running daemon.
 type Daemon struct {
-	settings *Settings
-	catalog  *catalog.Catalog
-	syncer   *discovery.Syncer
-	fleet    *fleet.Fleet
-	conn     wire.Conn
-	peerConn wire.Conn
-	loop     *packetLoop
+	settings    *Settings
+	catalog     *catalog.Catalog
+	storeClient *platform.Client
+	syncer      *discovery.Syncer
+	fleet       *fleet.Fleet
+	conn        wire.Conn
+	peerConn    wire.Conn
+	loop        *packetLoop
 	// coldLimit is nil if the daemon does not read evacuations.
 	coldLimit    *coldlimit.Limiter
 	counters     *telemetry.Counters
@@ -125,9 +126,10 @@
 		fx.Provide(
 			telemetry.NewCounters,
 			func() *catalog.Catalog { return catalog.New(time.Now) },
-			func(c *telemetry.Counters) store.Collections {
-				return platform.NewClient(netip.MustParseAddrPort(settings.StoreAddress), c)
+			func(c *telemetry.Counters) *platform.Client {
+				return platform.NewClient(settings.storeAddress(), c)
 			},
+			func(c *platform.Client) store.Collections { return c },
 			func(s store.Collections, c *catalog.Catalog, n *telemetry.Counters) *discovery.Syncer {
 				return discovery.NewSyncer(discovery.Options{
 					Store: s, Catalog: c, Counters: n, Logger: logger, PropagationBound: settings.propagationBound(),
@@ -143,7 +145,7 @@
 
 // newDaemon opens the sockets and listeners of a daemon and connects its components. It starts none of
 // them.
-func newDaemon(s *Settings, c *catalog.Catalog, recordSyncer *discovery.Syncer, n *telemetry.Counters, output *asyncWriter, logger zerolog.Logger) (*Daemon, error) {
+func newDaemon(s *Settings, client *platform.Client, c *catalog.Catalog, recordSyncer *discovery.Syncer, n *telemetry.Counters, output *asyncWriter, logger zerolog.Logger) (*Daemon, error) {
 	conn, err := wire.ListenUDP(netip.MustParseAddrPort(s.PacketAddress))
 	if err != nil {
 		return nil, fmt.Errorf("packet-address: %w", err)
@@ -153,7 +155,7 @@
 		return nil, fmt.Errorf("admin-address: %w", err)
 	}
 	d := &Daemon{
-		settings: s, catalog: c, syncer: recordSyncer, conn: conn, peerConn: peerConn, counters: n, logger: logger,
+		settings: s, storeClient: client, catalog: c, syncer: recordSyncer, conn: conn, peerConn: peerConn, counters: n, logger: logger,
 		fatalErrors: make(chan error, 4),
 	}
 	d.setSeeds(s)
--- a/edge/logging.go
+++ b/edge/logging.go
@@ -20,6 +20,7 @@
 	eventReloadRefused   = "settings_refused"
 	eventRestartNeeded   = "settings_need_restart"
 	eventBoundLimited    = "bound_limited"
+	eventStoreAddress    = "store_address_changed"
 	eventLinesSuppressed = "log_lines_left_out"
 	eventLinesDropped    = "log_lines_lost"
 	eventFlow            = "flow"
--- a/edge/reload.go
+++ b/edge/reload.go
@@ -62,10 +62,22 @@
 	d.settings.GraceSeconds = next.GraceSeconds
 	d.setSeeds(next)
 	d.setBounds(next)
+	d.setStoreAddress(next)
 	d.counters.Count("settings.reloaded")
 	d.logger.Info().Str("event", eventReloaded).Str("cause", cause).Send()
 }
 
+// setStoreAddress makes later calls of the store go to the address in validated settings.
+func (d *Daemon) setStoreAddress(next *Settings) {
+	if next.StoreAddress == d.settings.StoreAddress {
+		return
+	}
+	d.logger.Info().Str("event", eventStoreAddress).Str("old", d.settings.StoreAddress).Str("new", next.StoreAddress).Send()
+	d.settings.StoreAddress = next.StoreAddress
+	d.storeClient.SetAddress(next.storeAddress())
+	d.storeClient.Close() // Idle connections to the earlier address would stay open.
+}
+
 // setBounds applies the bounds of validated settings, except whether evacuations are read.
 func (d *Daemon) setBounds(next *Settings) {
 	earlier := d.settings.statedBoundMs()
--- a/edge/reload_test.go
+++ b/edge/reload_test.go
@@ -3,11 +3,15 @@
 import (
 	"fmt"
 	"maps"
+	"net/http/httptest"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/fulmarfield/fulmarfield/standin/metastore"
 )
 
 // Guards against a bound that is shortened while the daemon runs and that is in force only after a restart: until then
@@ -63,3 +67,29 @@
 		g.Expect(d.settings.settingsNeedingRestart(next)).To(ContainElement("evacuation-bound-ms"), "to read evacuations needs a restart")
 	}
 }
+
+// Guards against daemons that stay with the earlier address of the store after it has changed in their settings, and act
+// on an old configuration once nothing is served there any more (review/13).
+func TestChangedStoreAddressIsFollowed(t *testing.T) {
+	g := NewWithT(t)
+	s := metastore.New()
+	earlier, later := httptest.NewServer(s.Handler()), httptest.NewServer(s.Handler())
+	t.Cleanup(later.CloseClientConnections)
+	d, args := startDaemon(t, 89, earlier.Listener.Addr().String())
+	u := startUpstream(t, 9)
+	s.Put("servers", u.ID, upstreamEntry(u))
+	s.Put("config", "main", configuration(7))
+	waitUntilReady(g, "127.51.0.89")
+	text, err := os.ReadFile(args[1])
+	g.Expect(err).NotTo(HaveOccurred())
+	changed := strings.ReplaceAll(string(text), earlier.Listener.Addr().String(), later.Listener.Addr().String())
+	g.Expect(os.WriteFile(args[1], []byte(changed), 0o600)).To(Succeed())
+	d.reload(newSettingsWatcher(d.settings, args), "test")
+	earlier.CloseClientConnections()
+	g.Expect(earlier.Listener.Close()).To(Succeed())
+	s.Put("config", "main", configuration(9))
+	inForce := func() int64 { return d.catalog.Current().Config.Version }
+	g.Eventually(inForce, defaultBoundMs*time.Millisecond).Should(Equal(int64(9)))
+	// The records are validated again there: without the store they would become older than the bound.
+	g.Consistently(func() int { return metric(89, "config_age_ms") }, 4*time.Second).Should(BeNumerically("<", defaultBoundMs))
+}
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -136,7 +136,7 @@
 	for i := range a.NumField() {
 		field := a.Type().Field(i)
 		switch field.Name {
-		case "LogLevel", "GraceSeconds", "Seeds", "ConfigurationBound", "DrainBound", "ColdOverage", "ColdSlack", "UpstreamHeartbeat":
+		case "LogLevel", "GraceSeconds", "Seeds", "StoreAddress", "ConfigurationBound", "DrainBound", "ColdOverage", "ColdSlack", "UpstreamHeartbeat":
 			continue
 		case "EvacuationBound":
 			if s.readsEvacuations() == next.readsEvacuations() {
@@ -177,6 +177,9 @@
 func (s *Settings) coldOverage() float64 { return s.ColdOverage.or(defaultColdOverage) }
 func (s *Settings) coldSlack() float64   { return s.ColdSlack.or(defaultColdSlack) }
 
+// storeAddress returns the address of the store of validated settings.
+func (s *Settings) storeAddress() netip.AddrPort { return netip.MustParseAddrPort(s.StoreAddress) }
+
 // seedAddresses returns the IP addresses of the seeds, or a *setting.Error.
 func (s *Settings) seedAddresses() ([]netip.Addr, error) {
 	var seeds []netip.Addr
