Change bounds and the address of the store in the soak

Each run changes the settings of some daemons five times, with no, one or two SIGHUPs, beside the other faults: bounds are stated as fractions, very small and large numbers, true, false or nothing, and the store is served at another address. A daemon must refuse none of these, and must start with them. The sequence is independent of that of the other faults.

--- a/test/soak/cluster_test.go
+++ b/test/soak/cluster_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -64,14 +65,19 @@
 
 // daemon is one process of the balancer.
 type daemon struct {
-	number     int
-	address    netip.Addr
+	number  int
+	address netip.Addr
+	// settings is the path of the settings file.
 	settings   string
 	storeProxy *proxy
 	mu         sync.Mutex
-	process    *exec.Cmd
-	isUp       bool
-	isLeaving  bool
+	// storeListener accepts connections at the address of the store that the settings name, and figures are bounds in
+	// the settings.
+	storeListener net.Listener
+	figures       map[string]string
+	process       *exec.Cmd
+	isUp          bool
+	isLeaving     bool
 	// faults are the times of the starts, signals and store faults of the daemon.
 	faults []time.Time
 }
@@ -185,17 +191,13 @@
 		c.addUpstream(service)
 	}
 	for i := range daemons {
-		storeProxy, err := startProxy(c.address(roleProxies, 0, 1), api.Listener.Addr().String())
+		storeProxy, listener, err := startProxy(c.address(roleProxies, 0, 1), api.Listener.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
-		d := &daemon{number: i, address: c.address(roleDaemons, i%2, i+1), storeProxy: storeProxy}
+		d := &daemon{number: i, address: c.address(roleDaemons, i%2, i+1), storeProxy: storeProxy, storeListener: listener}
 		d.settings = filepath.Join(t.TempDir(), "settings.ini")
-		text := fmt.Sprintf("name = daemon-%d\nzone = %s\nevacuation-bound-ms = %d\npacket-address = %s:%d\nready-address = %s:%d\nadmin-address = %s:%d\nstore-address = %s\nseeds = %s:1,%s:1\n",
-			i, zoneName(i), evacuationBound.Milliseconds(), d.address, packetPort, d.address, readyPort, d.address, peerPort, storeProxy.listener.Addr(), c.address(roleDaemons, 0, 1), c.address(roleDaemons, 1, 2))
-		if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
+		c.writeSettingsLocked(d)
 		c.daemons = append(c.daemons, d)
 		c.start(d)
 	}
@@ -251,8 +253,8 @@
 			_ = d.process.Process.Kill()
 			_ = d.process.Wait()
 		}
+		d.storeProxy.closeListener(d.storeListener)
 		d.mu.Unlock()
-		_ = d.storeProxy.listener.Close()
 	}
 	for _, s := range c.upstreamServers {
 		s.Stop()
--- a/test/soak/hardload_test.go
+++ b/test/soak/hardload_test.go
@@ -236,6 +236,9 @@
 		if values == nil {
 			r.reportProblem("daemon %d has no metrics", d.number)
 		}
+		if n := values["settings_refused"]; n > 0 {
+			r.reportProblem("daemon %d refused its settings %d times", d.number, n)
+		}
 		for zone := range zoneCount {
 			if _, found := values["evacuation_"+zoneName(zone)+"_age_ms"]; found {
 				r.reportProblem("daemon %d still holds the evacuation of %s", d.number, zoneName(zone))
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -30,29 +30,44 @@
 
 // proxy forwards TCP connections from a daemon to the store.
 type proxy struct {
-	listener net.Listener
-	target   string
-	fault    atomic.Int32
-	mu       sync.Mutex
-	open     map[net.Conn]struct{}
+	target string
+	fault  atomic.Int32
+	mu     sync.Mutex
+	// open holds the connections of daemons, with the listeners that accepted them.
+	open map[net.Conn]net.Listener
 }
 
-func startProxy(address netip.Addr, target string) (*proxy, error) {
+func startProxy(address netip.Addr, target string) (*proxy, net.Listener, error) {
 	listener, err := net.Listen("tcp4", address.String()+":0")
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	p := &proxy{listener: listener, target: target, open: map[net.Conn]struct{}{}}
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go p.forward(c)
+	p := &proxy{target: target, open: map[net.Conn]net.Listener{}}
+	go p.serve(listener)
+	return p, listener, nil
+}
+
+// serve forwards the connections to a listener until it is closed.
+func (p *proxy) serve(listener net.Listener) {
+	for {
+		c, err := listener.Accept()
+		if err != nil {
+			return
 		}
-	}()
-	return p, nil
+		go p.forward(c, listener)
+	}
+}
+
+// closeListener closes a listener and the connections that it has accepted.
+func (p *proxy) closeListener(listener net.Listener) {
+	_ = listener.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c, by := range p.open {
+		if by == listener {
+			_ = c.Close()
+		}
+	}
 }
 
 func (p *proxy) setFault(f proxyFault) {
@@ -67,7 +82,7 @@
 	}
 }
 
-func (p *proxy) forward(client net.Conn) {
+func (p *proxy) forward(client net.Conn, by net.Listener) {
 	defer func() { _ = client.Close() }()
 	if proxyFault(p.fault.Load()) == faultReset {
 		return
@@ -78,7 +93,7 @@
 	}
 	defer func() { _ = server.Close() }()
 	p.mu.Lock()
-	p.open[client] = struct{}{}
+	p.open[client] = by
 	p.mu.Unlock()
 	defer func() {
 		p.mu.Lock()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -98,8 +98,8 @@
 // Guards against combinations of faults that violate a guarantee: an established flow is reset or
 // moves although its upstream is healthy; a request runs twice, reaches another service or gets a
 // wrong answer; a request that was refused has run; a draining upstream or an evacuated zone receives new flows; a
-// configuration is in force too late; callers are refused as overloaded without overload; requests fail after the
-// faults have ended.
+// configuration is in force too late; callers are refused as overloaded without overload; a daemon refuses settings that
+// the platform may state, or does not start with them; requests fail after the faults have ended.
 func TestSoak(t *testing.T) {
 	for i, seed := range seedList(t) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -120,6 +120,7 @@
 				r.killAll(&faults, seed)
 			}
 			r.injectHardLoad(&faults, seed)
+			r.injectSettingsChanges(&faults, seed)
 			for end := time.Now().Add(*faultDuration); time.Now().Before(end); {
 				time.Sleep(time.Duration(r.random.Float64() * 2 * float64(faultGap)))
 				r.inject(&faults)
