Name the address to which a flow was opened in its token

Cause: a token named the ID only, and a daemon inferred at which address a flow was from the next acknowledgement of its caller. For a flow that is new to the daemon the response may come from another address, to an earlier copy of the request. Then the flow stayed at the wrong address, where silence counted against the upstream.

Change: the token depends on the upstream's address as well, which the upstream echoes. Earlier addresses of an ID are kept for 60 s, the longest lifetime of a flow. A token that may belong to an ID with an entry is unknown, not absent. The inference (flow.stays) is gone. Ruled out: a longer time until such flows count, or a second acknowledgement, as the next order of events exceeds both.

Tests: TestFlowStaysWhereItWasAnswered expected that a flow without an answer follows the foreign entry. As TestFlowStaysWhereItWasOpened it expects the flow's own address for it, and for a flow with a request in progress. With TestEntryWithAnotherAddressIsNoProof and TestEarlierAddressIsKept it failed before.

Price: an upstream that starts again under its ID at another address resets none of its old flows.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -15,8 +15,8 @@
 	// and register again. Entries that expire while the store is unreachable are registered again
 	// within 2 s after it becomes reachable, and a watch delivers changes up to half a second late.
 	ReregistrationGrace = 2500 * time.Millisecond
-	// deregisteredRetention is how long deregistered upstreams are kept. It equals the longest
-	// lifetime of a flow, so that no packet names an upstream that has been dropped.
+	// deregisteredRetention is how long deregistered upstreams and earlier addresses are kept. It equals the
+	// longest lifetime of a flow, so that no packet names an upstream that has been dropped.
 	deregisteredRetention = time.Minute
 )
 
@@ -46,6 +46,19 @@
 	hadStopped bool
 }
 
+// place is an ID of an upstream with an address that one of its entries has named.
+type place struct {
+	id      string
+	address netip.AddrPort
+}
+
+// earlierPlace is an upstream whose entry was replaced by one with another address. That entry may be of another writer or
+// of an ended process, so that the upstream may still run.
+type earlierPlace struct {
+	upstream *Upstream
+	since    time.Time
+}
+
 // Snapshot is the state of routes and upstreams at one moment. It must not be changed.
 type Snapshot struct {
 	Config *Configuration
@@ -61,16 +74,16 @@
 	deregistered map[uint64]deregistered
 	// ready holds the upstreams of each service that accept new flows.
 	ready map[string][]*Upstream
-	// byToken holds all upstreams, including the deregistered ones.
+	// byToken holds all upstreams, including the deregistered ones and those at earlier addresses.
 	byToken tokenIndex
 	// latest holds the incarnation of each upstream whose entry was read last, by ID, registered or not.
 	latest map[string]*Upstream
 	// lapsed holds the upstreams of each service that accepted new flows when their entries vanished.
 	lapsed map[string][]*Upstream
-	// unreadable holds the IDs without a registered upstream whose entries cannot be decoded, and unreadableByToken
-	// the same by token.
-	unreadable        map[string]bool
-	unreadableByToken tokenIndex
+	// unreadable holds the IDs without a registered upstream whose entries cannot be decoded.
+	unreadable map[string]bool
+	// entryPrefixes holds the prefixes of the tokens of all IDs with an entry, readable or not.
+	entryPrefixes map[uint16]bool
 }
 
 // IsComplete reports whether a configuration, a list of upstreams and, if the deployment has them, a list of
@@ -109,7 +122,8 @@
 	return slices.Concat(ready, missing)
 }
 
-// ByToken returns the upstream that a token identifies at a service address, or nil. The upstream may
+// ByToken returns the upstream that a token identifies at a service address, with the address to which the
+// flow was opened, or nil. The upstream may
 // belong to a service that the route does not contain any more, and there may be no route at the address
 // in this snapshot: open flows stay on their upstreams when the services of a route change, the route may
 // have been added just now, and the token is evidence that a daemon placed the flow for this address.
@@ -118,11 +132,9 @@
 	return s.byToken.find(address, token)
 }
 
-// IsUnreadable reports whether a token at a service address belongs to an ID whose entry cannot be decoded and of which no
-// other is known. There may be an upstream that runs under this ID.
-func (s *Snapshot) IsUnreadable(address netip.AddrPort, token uint32) bool {
-	return s.unreadableByToken.find(address, token) != nil
-}
+// MayHaveEntry reports whether a token may belong to an ID that has an entry, which cannot be decoded or has another
+// address than the flow. Then that the token names no upstream does not show that the upstream has gone.
+func (s *Snapshot) MayHaveEntry(token uint32) bool { return s.entryPrefixes[prefixOf(token)] }
 
 // IsAmbiguous reports whether the token of u at an address belongs to another upstream, so that packets of
 // new flows to u would be steered to that upstream.
@@ -175,6 +187,8 @@
 	upstreamsListed bool
 	// deregistered holds the upstreams by ID whose entries were removed and have not been written again.
 	deregistered map[string]deregistered
+	// earlier holds the upstreams whose entries were replaced by ones with another address.
+	earlier map[place]earlierPlace
 	// unreadable holds the IDs without a registered upstream whose entries cannot be decoded.
 	unreadable map[string]bool
 	// evacuations holds the evacuations in force by zone.
@@ -186,7 +200,7 @@
 
 // New returns an empty catalog that reads the time from now.
 func New(now func() time.Time) *Catalog {
-	c := &Catalog{upstreams: map[string]*Upstream{}, deregistered: map[string]deregistered{}, unreadable: map[string]bool{}, evacuations: map[string]Evacuation{}, now: now}
+	c := &Catalog{upstreams: map[string]*Upstream{}, deregistered: map[string]deregistered{}, earlier: map[place]earlierPlace{}, unreadable: map[string]bool{}, evacuations: map[string]Evacuation{}, now: now}
 	c.current.Store(&Snapshot{})
 	return c
 }
@@ -273,15 +287,36 @@
 	next.warmAt, next.prefix = c.now().Add(u.ColdRemaining), u.tokenPrefix()
 	// If the same entry was read again, its slow start ends as computed at the first read. Another entry of the
 	// incarnation may show another slow start, for example after the evacuation of its zone.
-	if previous := c.upstreams[u.ID]; previous != nil && previous.Key == u.Key && previous.EntryVersion == u.EntryVersion &&
-		next.warmAt.After(previous.warmAt) {
+	previous := c.upstreams[u.ID]
+	if previous != nil && previous.Key == u.Key && previous.EntryVersion == u.EntryVersion && next.warmAt.After(previous.warmAt) {
 		next.warmAt = previous.warmAt
 	}
+	if previous == nil {
+		previous = c.deregistered[u.ID].upstream
+	}
+	if previous != nil && previous.Address != u.Address {
+		c.earlier[place{u.ID, previous.Address}] = earlierPlace{previous, c.now()}
+	}
+	delete(c.earlier, place{u.ID, u.Address})
 	delete(c.deregistered, u.ID)
 	delete(c.unreadable, u.ID)
 	c.upstreams[u.ID] = &next
 }
 
+// earlierPlaces returns the upstreams at earlier addresses, and drops those at which no flow can be open any more. The
+// caller holds c.mu.
+func (c *Catalog) earlierPlaces(now time.Time) []*Upstream {
+	var list []*Upstream
+	for at, e := range c.earlier {
+		if now.Sub(e.since) > deregisteredRetention {
+			delete(c.earlier, at)
+			continue
+		}
+		list = append(list, e.upstream)
+	}
+	return list
+}
+
 // remove deregisters an upstream whose entry was removed. The caller holds c.mu.
 func (c *Catalog) remove(id string) {
 	if d, found := c.deregistered[id]; found && c.unreadable[id] {
@@ -330,8 +365,7 @@
 			s.lapsed[d.upstream.Service] = append(s.lapsed[d.upstream.Service], d.upstream)
 		}
 	}
-	s.byToken = newTokenIndex(maps.Values(s.latest), len(s.latest))
 	s.unreadable = maps.Clone(c.unreadable)
-	s.unreadableByToken = newUnreadableIndex(s.unreadable)
+	s.indexTokens(c.earlierPlaces(now))
 	c.current.Store(s)
 }
--- a/catalog/tokens.go
+++ b/catalog/tokens.go
@@ -18,18 +18,33 @@
 	return t
 }
 
-// newUnreadableIndex returns an index of IDs of which nothing else is known.
-func newUnreadableIndex(ids map[string]bool) tokenIndex {
-	return newTokenIndex(func(yield func(*Upstream) bool) {
-		for id := range ids {
-			u := &Upstream{ID: id}
-			if u.prefix = u.tokenPrefix(); !yield(u) {
+// indexTokens sets the indices of the latest entries, the given upstreams at earlier addresses, and the IDs with
+// entries that cannot be decoded.
+func (s *Snapshot) indexTokens(earlier []*Upstream) {
+	s.byToken = newTokenIndex(func(yield func(*Upstream) bool) {
+		for _, u := range s.latest {
+			if !yield(u) {
 				return
 			}
 		}
-	}, len(ids))
+		for _, u := range earlier {
+			if !yield(u) {
+				return
+			}
+		}
+	}, len(s.latest)+len(earlier))
+	s.entryPrefixes = make(map[uint16]bool, len(s.registered)+len(s.unreadable))
+	for _, u := range s.registered {
+		s.entryPrefixes[u.prefix] = true
+	}
+	for id := range s.unreadable {
+		s.entryPrefixes[(&Upstream{ID: id}).tokenPrefix()] = true
+	}
 }
 
+// prefixOf returns the bits of a token that depend on the upstream's ID only.
+func prefixOf(token uint32) uint16 { return uint16(token >> (32 - tokenPrefixBits)) }
+
 // withPrefix returns the upstreams whose tokens have a prefix.
 func (t tokenIndex) withPrefix(prefix uint16) []*Upstream {
 	first, _ := slices.BinarySearchFunc(t, prefix, func(u *Upstream, p uint16) int { return cmp.Compare(u.prefix, p) })
@@ -43,7 +58,7 @@
 // find returns the upstream that a token identifies at a service address, or nil.
 func (t tokenIndex) find(address netip.AddrPort, token uint32) *Upstream {
 	var found *Upstream
-	for _, u := range t.withPrefix(uint16(token >> (32 - tokenPrefixBits))) {
+	for _, u := range t.withPrefix(prefixOf(token)) {
 		if u.Token(address) == token {
 			found = older(found, u)
 		}
--- a/catalog/types.go
+++ b/catalog/types.go
@@ -63,20 +63,24 @@
 }
 
 // Token returns the token that packets of the upstream's flows to a service address carry. All
-// daemons compute the same value. The token names the upstream by its ID and no incarnation: the
-// daemon that places a flow cannot know which incarnation accepts it, since an upstream that starts
-// again under its ID registers later than it listens.
+// daemons compute the same value. The token names the upstream by its ID and its own address, to which the
+// opening packet is sent, and no incarnation: the daemon that places a flow cannot know which incarnation
+// accepts it, since an upstream that starts again under its ID registers later than it listens.
 //
 // The first tokenPrefixBits bits depend on the ID only, so that few upstreams have to be compared to find
-// that of a token. The others also depend on the address, so that the token of a flow to one service is
-// invalid at another service's address. A token is never 0, the value in packets without a token. Callers
+// that of a token. The others also depend on both addresses. The token of a flow to one service is
+// invalid at another service's address, and no entry of the upstream with another address changes where
+// the packets of the flow go. A token is never 0, the value in packets without a token. Callers
 // do not know the IDs of upstreams, so they can only guess a token, with a chance of 1 in 2^32 for each
 // upstream, or of 1 in 2^20 for an upstream to which they have a flow at another address.
 func (u *Upstream) Token(address netip.AddrPort) uint32 {
-	b := append(make([]byte, 0, typicalIDBytes+6), u.ID...)
+	b := append(make([]byte, 0, typicalIDBytes+addressBytes), u.ID...)
 	ip := address.Addr().As4()
 	b = append(b, ip[:]...)
 	b = binary.BigEndian.AppendUint16(b, address.Port())
+	own := u.Address.Addr().Unmap().As16()
+	b = append(b, own[:]...)
+	b = binary.BigEndian.AppendUint16(b, u.Address.Port())
 	const addressBits = 32 - tokenPrefixBits
 	return max(uint32(u.tokenPrefix())<<addressBits|uint32(xxhash.Sum64(b))&(1<<addressBits-1), 1)
 }
@@ -86,6 +90,8 @@
 	tokenPrefixBits = 12
 	// typicalIDBytes is a length that most IDs of upstreams do not exceed.
 	typicalIDBytes = 32
+	// addressBytes is the length of both addresses of a token.
+	addressBytes = 6 + 18
 )
 
 // tokenPrefix returns the first bits of the upstream's tokens.
--- a/inband/ending.go
+++ b/inband/ending.go
@@ -20,7 +20,7 @@
 	// without a route has no route either.
 	isRouteRemoved bool
 	// isUnlisted means that a list of upstreams which was complete after the flow was known to be open
-	// contains no entry of the flow's upstream, also none that cannot be decoded.
+	// contains no entry of the flow's upstream, also none that cannot be decoded or has another address.
 	isUnlisted bool
 	// isSilent means that the upstream responds neither to the data of this flow nor on others.
 	isSilent bool
@@ -85,7 +85,8 @@
 	if !hasRoute {
 		e.isRouteRemoved = s.options.Freshness.ConfigValidatedSince(since) && s.isCurrent(known)
 	}
-	if !isRegistered && !e.isUnlisted && !e.isRouteRemoved && !known.IsUnreadable(p.Flow.Service(), p.Token) {
+	mayHaveEntry := e.upstream == nil && known.MayHaveEntry(p.Token)
+	if !isRegistered && !e.isUnlisted && !e.isRouteRemoved && !mayHaveEntry {
 		e.isUnlisted = s.options.Freshness.UpstreamsListedSince(since) && s.isCurrent(known)
 	}
 	return e, true, status == alreadyTracked
@@ -153,7 +154,7 @@
 }
 
 // checkUpstream ends an open flow that has certainly ended at its upstream, and otherwise assigns it to the incarnation
-// that the catalog has, unless it stays where it was answered.
+// that the catalog has at the address where it was opened.
 func (s *Steerer) checkUpstream(known state, key wire.FlowKey, f *flow, now time.Time) {
 	u := known.Latest(f.upstream.ID)
 	if u == nil {
@@ -163,7 +164,7 @@
 	e.isUnlisted = e.isOlderThan(known.upstreamsValidatedAt)
 	if r := e.ending(); r != ReasonNone {
 		s.endFlow(key, f, r, now)
-	} else if u.Key != f.upstream.Key && !f.stays(u) {
+	} else if u.Key != f.upstream.Key && u.Address == f.upstream.Address {
 		s.moveFlow(f, u, now)
 	}
 }
--- a/inband/flow.go
+++ b/inband/flow.go
@@ -18,7 +18,7 @@
 	isOpen    bool
 	openSince time.Time
 	// isAnswered is set once the caller has acknowledged something that the upstream sent after a packet which this
-	// daemon had forwarded, so that the flow is known to be at the upstream's address.
+	// daemon had forwarded, so that packets are known to get through in both directions.
 	isAnswered bool
 	// acknowledged is the caller's last acknowledgement. It rises as the caller receives data.
 	acknowledged uint32
@@ -68,12 +68,6 @@
 	return now.Sub(f.lastSeen)
 }
 
-// stays reports whether packets of the flow go on to the address where it was answered, although the entry of its upstream
-// that was read last names another one. That entry may be of another writer or of an ended process.
-func (f *flow) stays(u *catalog.Upstream) bool {
-	return f.isAnswered && f.upstream.ID == u.ID && f.upstream.Address != u.Address
-}
-
 // openFor returns for how long this daemon has known the flow to be open, 0 if it is not open.
 func (f *flow) openFor(now time.Time) time.Duration {
 	if f == nil || !f.isOpen {
--- a/inband/reset_proof_test.go
+++ b/inband/reset_proof_test.go
@@ -162,9 +162,9 @@
 }
 
 // Guards against packets of open flows that go to the address in an entry of another writer, or of an ended process, and
-// against resets because nothing responds there (review/8): a flow stays where it was answered. A flow of which this
-// daemon has seen no answer follows the entry that was read last.
-func TestFlowStaysWhereItWasAnswered(t *testing.T) {
+// against resets because nothing responds there (review/8, review/11): a flow goes where it was opened, also if it is new
+// to this daemon and was answered, or a request is in progress on it, when that entry is read.
+func TestFlowStaysWhereItWasOpened(t *testing.T) {
 	own, foreign := incarnation("a", 2), incarnation("a", 1)
 	foreign.Service, foreign.Address = "archive", netip.MustParseAddrPort("10.9.9.9:9")
 	h := newHarness(t, own)
@@ -181,9 +181,12 @@
 	answered.Sequence, answered.Acknowledged, answered.PayloadBytes = answered.Sequence+100, answered.Acknowledged+600, 0
 	h.decide(answered)
 	packets = append(packets, answered)
+	waiting := withData(moved)
+	waiting.Flow = h.newFlowKey(safeAddress)
+	h.decide(waiting)
+	packets = append(packets, moved, waiting)
 	h.advance(time.Second)
 	h.catalog.ApplyChanges([]*catalog.Upstream{foreign}, nil, nil)
-	h.Expect(h.decide(moved).Upstream.Address).To(Equal(foreign.Address))
 	for range 6 {
 		for i, p := range packets {
 			v := h.decide(withData(p))
@@ -199,7 +202,48 @@
 	}
 	h.Expect(h.steerer.TakeEndedFlows()).To(BeEmpty())
 	h.catalog.ApplyChanges([]*catalog.Upstream{own}, nil, nil)
-	h.Expect(h.decide(moved).Upstream.Address).To(Equal(own.Address))
+	for _, p := range packets {
+		h.Expect(h.decide(withData(p)).Upstream.Address).To(Equal(own.Address))
+	}
+}
+
+// Guards against packets to an address at which their flow was not opened, and against a reset of that flow, by a daemon
+// that has started while an entry of another writer is in force: its lists have an entry under the ID, so that they are
+// no proof that there is no such upstream.
+func TestEntryWithAnotherAddressIsNoProof(t *testing.T) {
+	own, foreign := incarnation("a", 2), incarnation("a", 1)
+	foreign.Service, foreign.Address = "archive", netip.MustParseAddrPort("10.9.9.9:9")
+	h := newHarness(t, foreign, upstream("b", "bindery", "schuur"))
+	p := withData(platform.Packet{Flow: h.newFlowKey(unsafeAddress), Token: own.Token(unsafeAddress), Sequence: 1, Acknowledged: 100, Acknowledges: true})
+	for range 3 {
+		v := h.decide(p)
+		h.Expect(v.Action).To(Equal(inband.ActionDrop), "%s", v.Reason)
+		h.advance(catalog.ReregistrationGrace)
+		h.listedAt = h.now
+		h.validate()
+	}
+	h.catalog.ApplyChanges([]*catalog.Upstream{own}, nil, nil)
+	v := h.decide(p)
+	h.Expect(v.Action).To(Equal(inband.ActionForward), "%s", v.Reason)
+	h.Expect(v.Upstream.Address).To(Equal(own.Address))
+}
+
+// Guards against a flow that is lost or reset because the entry of its upstream named another address for long: a flow is
+// steered to the address where it was opened for as long as flows live.
+func TestEarlierAddressIsKept(t *testing.T) {
+	own, foreign := incarnation("a", 2), incarnation("a", 1)
+	foreign.Address = netip.MustParseAddrPort("10.9.9.9:9")
+	h := newHarness(t, own)
+	p := withData(platform.Packet{Flow: h.newFlowKey(unsafeAddress), Token: own.Token(unsafeAddress), Sequence: 1, Acknowledged: 100, Acknowledges: true})
+	h.catalog.ApplyChanges([]*catalog.Upstream{foreign}, nil, nil)
+	h.advance(50 * time.Second)
+	h.catalog.ApplyChanges([]*catalog.Upstream{foreign}, nil, nil)
+	h.validate()
+	h.listedAt = h.now
+	h.Expect(h.decide(p).Upstream).To(HaveField("Address", own.Address))
+	h.advance(20 * time.Second)
+	h.catalog.ApplyChanges([]*catalog.Upstream{foreign}, nil, nil)
+	h.Expect(h.decide(p).Action).To(Equal(inband.ActionDrop), "no flow is that old")
 }
 
 // Guards against resets of flows that reach a daemon for the first time while an entry of another writer is in force
--- a/inband/steerer.go
+++ b/inband/steerer.go
@@ -374,9 +374,6 @@
 		return v
 	}
 	f := s.trackFlow(p.Flow, e, now)
-	if f.stays(e.upstream) {
-		e.upstream = f.upstream
-	}
 	if f.isFinished {
 		f.lastSeen = now
 		return forwardOpen(e, isWaiting)
@@ -400,10 +397,10 @@
 func (s *Steerer) trackFlow(key wire.FlowKey, e evidence, now time.Time) *flow {
 	f := e.flow
 	switch {
-	case f == nil || f.upstream.ID != e.upstream.ID:
+	case f == nil || f.upstream.ID != e.upstream.ID || f.upstream.Address != e.upstream.Address:
 		f = &flow{upstream: e.upstream}
 		s.addFlow(key, f)
-	case f.upstream.Key != e.upstream.Key && !f.stays(e.upstream):
+	case f.upstream.Key != e.upstream.Key:
 		s.moveFlow(f, e.upstream, now)
 	}
 	return f
@@ -438,7 +435,7 @@
 	case eventProgress:
 		s.tracker.RecordProgress(upstream, now)
 	case eventRetransmission:
-		if !f.isAnswered { // The packets may go to the address of another process.
+		if !f.isAnswered { // Nothing has shown that the caller receives what the upstream sends.
 			break
 		}
 		wasDead := s.tracker.IsDead(upstream, now)
@@ -458,7 +455,7 @@
 	s.countFlow(f.upstream.Key, 1)
 }
 
-// moveFlow assigns a flow to another incarnation of its upstream. What the flow showed of the one before is no
+// moveFlow assigns a flow to another incarnation of its upstream at the same address. What the flow showed of the one before is no
 // evidence on this one.
 func (s *Steerer) moveFlow(f *flow, u *catalog.Upstream, now time.Time) {
 	if !f.isFinished {
