End a list of the store once another daemon has listed

Change: a list that was begun because of the age of the records ends between two pages once another daemon has validated the same records or has fresher ones (store_list_superseded). After a failed read from such a daemon the list is read to the end, so that a daemon that cannot be reached does not keep another one from listing.

TestListEndsWhenAnotherDaemonHasListed failed before with 60 pages read, and allows 13.

--- a/discovery/era_test.go
+++ b/discovery/era_test.go
@@ -328,10 +328,10 @@
 	g := NewWithT(t)
 	d := newEraDaemon()
 	d.options.Store = &erasOfPages{eras: []store.Era{1, 2}}
-	_, err := d.Syncer.list(t.Context(), platform.KindUpstreams, causeStale)
+	_, err := d.Syncer.list(t.Context(), platform.KindUpstreams, causeStale, false)
 	g.Expect(err).To(MatchError(errOtherEra))
 	d.options.Store = &erasOfPages{eras: []store.Era{1, 1}}
-	_, err = d.Syncer.list(t.Context(), platform.KindUpstreams, causeStale)
+	_, err = d.Syncer.list(t.Context(), platform.KindUpstreams, causeStale, false)
 	g.Expect(err).To(MatchError(errOtherEra), "the era goes back")
 	d.options.Store = &erasOfPages{eras: []store.Era{1}}
 	g.Expect(d.refresh(t.Context(), platform.KindUpstreams, causeStale)).NotTo(Succeed())
--- a/discovery/list.go
+++ b/discovery/list.go
@@ -27,11 +27,15 @@
 // seeds read the latest records. The other daemons begin with records that may be stale, which the
 // advertisements of the seeds validate or supersede. So the rate limit of the store suffices for a
 // fleet of any size. A seed that the store refuses because of its rate limit begins with stale
-// records too.
-func (s *Syncer) list(ctx context.Context, kind store.Kind, cause readCause) (store.Listing, error) {
+// records too. A list that may yield ends with errListSuperseded as soon as the records need no list any more: of the
+// daemons whose lists become due while one of them lists, few read more than some pages.
+func (s *Syncer) list(ctx context.Context, kind store.Kind, cause readCause, mayYield bool) (store.Listing, error) {
 	l := store.Listing{MayBeStale: cause == causeInitial && s.peers != nil && !s.peers.IsSeed()}
 	after := ""
 	for n := range maxPages {
+		if n > 0 && mayYield && !s.needsList(kind) {
+			return store.Listing{}, errListSuperseded
+		}
 		p, err := s.listPage(ctx, kind, after, cause, &l)
 		if err != nil {
 			return store.Listing{}, err
--- a/discovery/list_test.go
+++ b/discovery/list_test.go
@@ -59,14 +59,14 @@
 		g := NewWithT(t)
 		s := &pagedStore{records: 60, refuses: func(call int) bool { return call%2 == 0 }}
 		syncer := NewSyncer(Options{Store: s, Catalog: catalog.New(time.Now), Counters: telemetry.NewCounters(), Logger: zerolog.Nop()})
-		l, err := syncer.list(t.Context(), "servers", causeStale)
+		l, err := syncer.list(t.Context(), "servers", causeStale, false)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(l.Records).To(HaveLen(60))
 		g.Expect(l.AsOf).To(Equal(store.Version(10)), "the version of the first page")
 		g.Expect(s.calls).To(BeNumerically("<=", 120))
 		s.refuses = func(int) bool { return true }
 		s.calls = 0
-		_, err = syncer.list(t.Context(), "servers", causeStale)
+		_, err = syncer.list(t.Context(), "servers", causeStale, false)
 		g.Expect(err).To(MatchError(store.ErrRateLimited))
 		g.Expect(s.calls).To(Equal(1))
 	})
@@ -217,6 +217,54 @@
 	return rs
 }
 
+// slowPages serves 60 pages of one record each, and counts them.
+type slowPages struct{ *pagedStore }
+
+func (s slowPages) ListPage(ctx context.Context, kind store.Kind, after string, c store.Consistency) (store.Page, error) {
+	time.Sleep(4 * time.Millisecond)
+	return s.pagedStore.ListPage(ctx, kind, after, c)
+}
+
+// Guards against the lists of many daemons that become due while the first of them lists, and that are all read to the
+// end: 300 daemons with 60 pages each exceeded the rate limit of the store. Guards also against a list that never ends,
+// because another daemon whose records cannot be read has fresher ones again and again.
+func TestListEndsWhenAnotherDaemonHasListed(t *testing.T) {
+	for name, advertisement := range map[string]Advertisement{
+		"equal records": {IsDated: true}, "other records": {Digest: 7},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				s := slowPages{&pagedStore{records: 60, refuses: func(int) bool { return false }}}
+				syncer := NewSyncer(Options{Store: s, Catalog: catalog.New(time.Now), Counters: telemetry.NewCounters(),
+					Logger: zerolog.Nop(), PropagationBound: 3 * time.Second})
+				syncer.SetPeers(manyPeers{}, func() {})
+				syncer.applyRecordSet(platform.KindUpstreams, completeListAt(time.Now(), 5), true)
+				time.Sleep(2 * time.Second)
+				advertisement.Kind, advertisement.From = platform.KindUpstreams, netip.MustParseAddr("10.0.0.7")
+				if advertisement.Digest == 0 {
+					advertisement.Digest = syncer.kinds[platform.KindUpstreams].recordCache.digest()
+				}
+				hear := func() {
+					time.Sleep(50 * time.Millisecond)
+					advertisement.ValidatedAt = time.Now()
+					syncer.HandleAdvertisement(advertisement)
+				}
+				go hear()
+				g.Expect(syncer.refresh(t.Context(), platform.KindUpstreams, causeStale)).To(Succeed())
+				g.Expect(s.calls).To(BeNumerically("<=", 13))
+				if advertisement.IsDated {
+					g.Expect(time.Since(syncer.UpstreamsValidatedAt())).To(BeNumerically("<", 10*time.Millisecond))
+					return
+				}
+				go hear()
+				g.Expect(syncer.refresh(t.Context(), platform.KindUpstreams, causeFresherDaemon)).To(Succeed())
+				g.Expect(s.calls).To(BeNumerically(">=", 60), "the records of the other daemon cannot be read")
+			})
+		})
+	}
+}
+
 // Guards against flows that are ended or placed by an entry of another writer that lacks the start time
 // (review/4), and against upstreams that never write one and are not used.
 func TestEntryWithoutStartTime(t *testing.T) {
--- a/discovery/revalidate.go
+++ b/discovery/revalidate.go
@@ -57,7 +57,9 @@
 	if cause == causeHeardEra {
 		return s.confirmEra(ctx, kind)
 	}
+	mayYield := cause == causeStale
 	if from := s.fresherDaemon(kind); from.IsValid() && cause != causeRequested {
+		mayYield = false
 		err := s.listFromDaemon(ctx, kind, from)
 		if err == nil || ctx.Err() != nil {
 			return err
@@ -67,10 +69,14 @@
 		s.unlock()
 	}
 	if s.breaker.allows(time.Now()) {
-		err := s.listFromStore(ctx, kind, cause)
+		err := s.listFromStore(ctx, kind, cause, mayYield)
 		if err == nil || ctx.Err() != nil {
 			return err
 		}
+		if errors.Is(err, errListSuperseded) {
+			s.options.Counters.Count("store.list_superseded")
+			return nil
+		}
 		if !errors.Is(err, store.ErrRateLimited) && !isEraError(err) {
 			s.recordFailure(kind, err)
 		}
@@ -85,6 +91,19 @@
 // have fresher records.
 var errNoFresherDaemon = errors.New("no other daemon is known to have fresher records")
 
+// errListSuperseded means that a list was given up between two of its pages, because another daemon has validated the
+// cached records meanwhile or has fresher ones.
+var errListSuperseded = errors.New("another daemon has listed meanwhile")
+
+// needsList reports whether the cached records of a kind must still be listed because of their age.
+func (s *Syncer) needsList(kind store.Kind) bool {
+	s.mu.Lock()
+	defer s.unlock()
+	k := s.kinds[kind]
+	at, cause := k.freshness.nextRead(s.bound(), k.jitter)
+	return cause == causeStale && !at.After(time.Now()) || s.listRequested[kind].Load()
+}
+
 // fresherDaemon returns a daemon whose records were validated later, or the zero address if none is
 // known.
 func (s *Syncer) fresherDaemon(kind store.Kind) netip.Addr {
@@ -142,8 +161,9 @@
 	}
 }
 
-// listFromStore reads all records of a kind from the store and applies them.
-func (s *Syncer) listFromStore(ctx context.Context, kind store.Kind, cause readCause) error {
+// listFromStore reads all records of a kind from the store and applies them. If it may yield, it returns
+// errListSuperseded once the records need no list any more.
+func (s *Syncer) listFromStore(ctx context.Context, kind store.Kind, cause readCause, mayYield bool) error {
 	s.mu.Lock()
 	s.listRequested[kind].Store(false)
 	validatedAt := s.kinds[kind].freshness.validatedAt
@@ -151,7 +171,7 @@
 	s.unlock()
 	s.options.Counters.Count("store.list." + string(cause))
 	began := time.Now()
-	l, err := s.list(ctx, kind, cause)
+	l, err := s.list(ctx, kind, cause, mayYield)
 	if err != nil {
 		return err
 	}
--- a/edge/template_test.go
+++ b/edge/template_test.go
@@ -77,6 +77,20 @@
 	}
 }
 
+// Guards against a daemon that starts without a name, a zone or an address that it cannot do without, and against messages
+// that do not name the setting.
+func TestRefuseMissingFields(t *testing.T) {
+	for field, name := range map[string]string{
+		"node": "name", "zone": "zone", "ip": "admin-address", "internal_ports.0": "admin-address", "listen.datagram_addr": "packet-address",
+		"listen.ready": "ready-address", "platform.address": "store-address",
+	} {
+		for _, value := range []string{"", "  "} {
+			_, err := parseRendered(t, map[string]string{field: value})
+			NewWithT(t).Expect(err).To(MatchError(ContainSubstring(name)), field)
+		}
+	}
+}
+
 // Guards against figures that are accepted but lost: cut off, exceeded or overflowing.
 func TestTimesOfFigures(t *testing.T) {
 	const config, drain, evacuation = "bounds.config_apply_ms", "bounds.drain_ms", "bounds.evacuate_ms"
