--- a/edge/figure.go
+++ b/edge/figure.go
@@ -19,11 +19,8 @@
 	number float64
 }
 
-// allowedFigures describes what UnmarshalFlag accepts.
-const allowedFigures = "a number that is not negative, true, false or nothing"
-
-// errFigure means that a text is none of the allowed figures.
-var errFigure = errors.New("not allowed: " + allowedFigures)
+// errFigure means that a text is no figure.
+var errFigure = errors.New("not allowed: a number that is not negative, true, false or nothing")
 
 // figureOf returns the figure with a number.
 func figureOf(n float64) figure { return figure{isInForce: true, hasNumber: true, number: n} }
