--- a/inband/ending.go
+++ b/inband/ending.go
@@ -85,13 +85,21 @@
 	if !hasRoute {
 		e.isRouteRemoved = s.options.Freshness.ConfigValidatedSince(since) && s.isCurrent(known)
 	}
-	mayHaveEntry := e.upstream == nil && known.MayHaveEntry(p.Token)
-	if !isRegistered && !e.isUnlisted && !e.isRouteRemoved && !mayHaveEntry {
-		e.isUnlisted = s.options.Freshness.UpstreamsListedSince(since) && s.isCurrent(known)
+	if !isRegistered && !e.isUnlisted && !e.isRouteRemoved {
+		e.isUnlisted = s.isUnlistedSince(known, e.upstream, p.Token, since)
 	}
 	return e, true, status == alreadyTracked
 }
 
+// isUnlistedSince reports whether a complete list after a time shows that the upstream of a token, nil if the token names
+// none, is not registered.
+func (s *Steerer) isUnlistedSince(known state, u *catalog.Upstream, token uint32, since time.Time) bool {
+	if u == nil && known.MayHaveEntry(token) {
+		return false
+	}
+	return s.options.Freshness.UpstreamsListedSince(since) && s.isCurrent(known)
+}
+
 // isCurrent reports whether the catalog still holds the snapshot. Freshness that was read after the snapshot
 // describes the snapshot only if it does.
 func (s *Steerer) isCurrent(known state) bool { return s.options.Catalog.Current() == known.Snapshot }
