--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -46,15 +46,15 @@
 	hadStopped bool
 }
 
-// place is an ID of an upstream with an address that one of its entries has named.
-type place struct {
+// addressOfID is an ID of an upstream with an address that one of its entries has named.
+type addressOfID struct {
 	id      string
 	address netip.AddrPort
 }
 
-// earlierPlace is an upstream whose entry was replaced by one with another address. That entry may be of another writer or
-// of an ended process, so that the upstream may still run.
-type earlierPlace struct {
+// earlierAddress is an upstream whose entry was replaced by one with another address. That entry may be of another
+// writer or of an ended process, so that the upstream may still run.
+type earlierAddress struct {
 	upstream *Upstream
 	since    time.Time
 }
@@ -188,7 +188,7 @@
 	// deregistered holds the upstreams by ID whose entries were removed and have not been written again.
 	deregistered map[string]deregistered
 	// earlier holds the upstreams whose entries were replaced by ones with another address.
-	earlier map[place]earlierPlace
+	earlier map[addressOfID]earlierAddress
 	// unreadable holds the IDs without a registered upstream whose entries cannot be decoded.
 	unreadable map[string]bool
 	// evacuations holds the evacuations in force by zone.
@@ -200,7 +200,7 @@
 
 // New returns an empty catalog that reads the time from now.
 func New(now func() time.Time) *Catalog {
-	c := &Catalog{upstreams: map[string]*Upstream{}, deregistered: map[string]deregistered{}, earlier: map[place]earlierPlace{}, unreadable: map[string]bool{}, evacuations: map[string]Evacuation{}, now: now}
+	c := &Catalog{upstreams: map[string]*Upstream{}, deregistered: map[string]deregistered{}, earlier: map[addressOfID]earlierAddress{}, unreadable: map[string]bool{}, evacuations: map[string]Evacuation{}, now: now}
 	c.current.Store(&Snapshot{})
 	return c
 }
@@ -295,17 +295,17 @@
 		previous = c.deregistered[u.ID].upstream
 	}
 	if previous != nil && previous.Address != u.Address {
-		c.earlier[place{u.ID, previous.Address}] = earlierPlace{previous, c.now()}
+		c.earlier[addressOfID{u.ID, previous.Address}] = earlierAddress{previous, c.now()}
 	}
-	delete(c.earlier, place{u.ID, u.Address})
+	delete(c.earlier, addressOfID{u.ID, u.Address})
 	delete(c.deregistered, u.ID)
 	delete(c.unreadable, u.ID)
 	c.upstreams[u.ID] = &next
 }
 
-// earlierPlaces returns the upstreams at earlier addresses, and drops those at which no flow can be open any more. The
-// caller holds c.mu.
-func (c *Catalog) earlierPlaces(now time.Time) []*Upstream {
+// upstreamsAtEarlierAddresses returns the upstreams at earlier addresses, and drops those at which no flow can be open
+// any more. The caller holds c.mu.
+func (c *Catalog) upstreamsAtEarlierAddresses(now time.Time) []*Upstream {
 	var list []*Upstream
 	for at, e := range c.earlier {
 		if now.Sub(e.since) > deregisteredRetention {
@@ -366,6 +366,6 @@
 		}
 	}
 	s.unreadable = maps.Clone(c.unreadable)
-	s.indexTokens(c.earlierPlaces(now))
+	s.indexTokens(c.upstreamsAtEarlierAddresses(now))
 	c.current.Store(s)
 }
--- a/edge/reload.go
+++ b/edge/reload.go
@@ -100,13 +100,14 @@
 // logBound writes a line if the daemon aims at another time than the settings state, since that is too short or too
 // long.
 func (d *Daemon) logBound() {
+	const shortestMs, longestMs = float64(shortestPropagationBound / time.Millisecond), float64(longestPropagationBound / time.Millisecond)
 	stated, used := d.settings.statedBoundMs(), d.settings.propagationBound()
-	if stated == float64(used)/float64(time.Millisecond) {
-		return
-	}
 	level := zerolog.InfoLevel
-	if used == shortestPropagationBound {
+	switch {
+	case stated < shortestMs:
 		level = zerolog.WarnLevel
+	case stated <= longestMs:
+		return
 	}
 	d.logger.WithLevel(level).Str("event", eventBoundLimited).Float64("stated_ms", stated).Dur("used_ms", used).Send()
 }
--- a/inband/steerer.go
+++ b/inband/steerer.go
@@ -455,8 +455,8 @@
 	s.countFlow(f.upstream.Key, 1)
 }
 
-// moveFlow assigns a flow to another incarnation of its upstream at the same address. What the flow showed of the one before is no
-// evidence on this one.
+// moveFlow assigns a flow to another incarnation of its upstream at the same address. What the flow showed of the one
+// before is no evidence on this one.
 func (s *Steerer) moveFlow(f *flow, u *catalog.Upstream, now time.Time) {
 	if !f.isFinished {
 		s.countFlow(f.upstream.Key, -1)
