--- a/suspicion/suspicion.go
+++ b/suspicion/suspicion.go
@@ -148,8 +148,8 @@
 }
 
 // RecordRetransmission records a retransmission on a flow: the count-th one of data that was first
-// sent at sentAt, and last before this one at copiedAt. It reports whether the flow counts as dead, which it does only if other upstreams have
-// responded all the time since.
+// sent at sentAt, and last before this one at copiedAt. It reports whether the flow counts as dead, which it
+// does only if other upstreams have responded all the time since.
 func (t *Tracker) RecordRetransmission(upstream, flow uint64, count int, sentAt, copiedAt, now time.Time) bool {
 	e := t.evidenceFor(upstream)
 	if now.Sub(sentAt) < minRetransmissionDelay {
@@ -160,7 +160,8 @@
 		return false
 	}
 	// While other upstreams are silent as well, the callers may receive nothing at all.
-	isFlowDead := count >= RetransmissionsUntilDead && now.Sub(sentAt) >= minSecondRetransmissionDelay && t.isSilentAlone(upstream, sentAt, copiedAt, now)
+	isFlowDead := count >= RetransmissionsUntilDead && now.Sub(sentAt) >= minSecondRetransmissionDelay &&
+		t.isSilentAlone(upstream, sentAt, copiedAt, now)
 	if isFlowDead || len(e.stalledFlows) >= minStalledFlows {
 		t.markSuspect(upstream, now, "data was repeated")
 	}
@@ -184,6 +185,7 @@
 		t.progress.longestSilenceOfOthers(upstream, since, now) <= progressTimeout
 }
 
+// later returns the later one of two times.
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/test/orders/scenario_test.go
+++ b/test/orders/scenario_test.go
@@ -148,6 +148,7 @@
 // longestDelay bounds the time for which nothing reaches the callers.
 const longestDelay = 2 * time.Second
 
+// later returns the later one of two times.
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
