Test that a moved flow is no response, and that copies wait together elsewhere

Without the rule on first packets no test failed, so TestMovedFlowIsNoResponse is added: callers wait for a dead upstream because other flows to it move to their daemon.

TestCopiesThatWaitedTogether passed without minCopyInterval, since a daemon that stands still hears no other upstream. It is played in addition while others respond. It fails with both minCopyInterval and the response to a later packet taken out, and passes with either.

--- a/inband/reset_proof_test.go
+++ b/inband/reset_proof_test.go
@@ -396,24 +396,44 @@
 	h.Expect(h.steerer.TakeEndedFlows()).To(BeEmpty())
 }
 
-// Guards against a reset of a repeatable request after this daemon stood still (review/5): the first answer was lost,
-// and both retransmissions waited together, so that the upstream had no time to respond to the first of them.
+// Guards against a reset of a repeatable request whose copies waited together, so that the upstream had no time to respond
+// to the first of them: at this daemon, which stood still (review/5), or before it, while others respond. The first answer
+// was lost.
 func TestCopiesThatWaitedTogether(t *testing.T) {
-	h := newHarness(t, upstream("a", "bindery", "schuur"))
-	p, _ := h.open(safeAddress)
-	other, _ := h.open(unsafeAddress)
-	p, other = withData(p), withData(other)
-	h.advance(time.Second)
-	h.decide(other)
-	h.Expect(h.decide(p).Action).To(Equal(inband.ActionForward))
-	h.advance(620 * time.Millisecond)
-	h.decide(other)
-	for range 4 {
+	for _, stall := range []func(h *harness, d time.Duration){(*harness).advance, (*harness).advanceWhileOthersRespond} {
+		h := newHarness(t, upstream("a", "bindery", "schuur"))
+		p, _ := h.open(safeAddress)
+		other, _ := h.open(unsafeAddress)
+		p, other = withData(p), withData(other)
+		h.advance(time.Second)
+		h.decide(other)
 		h.Expect(h.decide(p).Action).To(Equal(inband.ActionForward))
-		h.advance(2 * time.Millisecond)
+		stall(h, 620*time.Millisecond)
+		h.decide(other)
+		for range 4 {
+			h.Expect(h.decide(p).Action).To(Equal(inband.ActionForward))
+			h.advance(2 * time.Millisecond)
+		}
+		h.advanceWhileOthersRespond(780 * time.Millisecond)
+		h.Expect(h.decide(p).Action).To(Equal(inband.ActionReset), "no response to a copy that was forwarded 780 ms ago")
+	}
+}
+
+// Guards against callers that wait for a dead upstream because other flows to it move here: their first packets
+// acknowledge what their callers may have received before it died.
+func TestMovedFlowIsNoResponse(t *testing.T) {
+	h := newHarness(t, upstream("a", "bindery", "schuur"))
+	first, _ := h.open(safeAddress)
+	second, _ := h.open(safeAddress)
+	var last inband.Verdict
+	for _, gap := range []time.Duration{time.Second, 200 * time.Millisecond, 400 * time.Millisecond} {
+		h.advanceWhileOthersRespond(gap)
+		h.decide(withData(platform.Packet{Flow: h.newFlowKey(safeAddress), Token: h.token("a", safeAddress), Sequence: 1,
+			Acknowledged: 100, Acknowledges: true}))
+		h.decide(withData(first))
+		last = h.decide(withData(second))
 	}
-	h.advanceWhileOthersRespond(780 * time.Millisecond)
-	h.Expect(h.decide(p).Action).To(Equal(inband.ActionReset), "no response to a copy that was forwarded 780 ms ago")
+	h.Expect(last.Reason).To(Equal(inband.ReasonUpstreamDead))
 }
 
 // Guards against resets while nothing that upstreams send now reaches the callers (review/1 with TROUBLE=0), because of
